--- /dev/null
+++ b/adapter/src/settings.rs
@@ -0,0 +1,132 @@
+//! The first message's settings. Unknown keys are ignored, absent ones get harmless values.
+
+use ochrepond::{Class, Goal, Limits, Repeat, Rules, Scope, Settings, Tenant};
+use serde::Deserialize;
+use serde_json::Value;
+
+#[derive(Deserialize)]
+struct Facts {
+    balancers: u32,
+    #[serde(default)]
+    me: u32,
+    classes: Vec<ClassFacts>,
+    #[serde(default)]
+    tenants: Vec<TenantFacts>,
+    #[serde(default)]
+    discovery: String,
+    limits: LimitFacts,
+    invariants: RuleFacts,
+    #[serde(default)]
+    result_mix: GoalFacts,
+    #[serde(default)]
+    tick_us: u64,
+}
+
+#[derive(Deserialize)]
+struct ClassFacts {
+    name: String,
+    objective_us: u64,
+    deadline_us: u64,
+    #[serde(default)]
+    worth: f64,
+    #[serde(default)]
+    late_value: f64,
+    idempotency: String,
+    #[serde(default)]
+    dedup_scope: String,
+    #[serde(default)]
+    repeat_window_us: u64,
+}
+
+#[derive(Deserialize)]
+struct TenantFacts {
+    name: String,
+    #[serde(default)]
+    portion: f64,
+}
+
+#[derive(Deserialize)]
+#[serde(default)]
+struct LimitFacts {
+    cancel: bool,
+    probes: bool,
+    second_copies: bool,
+    max_attempts: u32,
+    retry_after: bool,
+    max_retry_after_us: u64,
+}
+
+impl Default for LimitFacts {
+    fn default() -> Self {
+        let (cancel, probes, second_copies, retry_after) = (false, false, false, false);
+        LimitFacts { cancel, probes, second_copies, max_attempts: 1, retry_after, max_retry_after_us: 0 }
+    }
+}
+
+#[derive(Deserialize)]
+struct RuleFacts {
+    cold_from: f64,
+    cold_us: u64,
+    #[serde(default = "ask_every")]
+    ask_every_us: u64,
+}
+
+fn ask_every() -> u64 {
+    Settings::default().rules.ask_every
+}
+
+#[derive(Deserialize)]
+#[serde(default)]
+struct GoalFacts {
+    whole: f64,
+    worst_class: f64,
+}
+
+impl Default for GoalFacts {
+    fn default() -> Self {
+        GoalFacts { whole: 1.0, worst_class: 0.0 }
+    }
+}
+
+/// Settings, and the names of classes and tenants in their order.
+pub fn read(facts: &Value) -> Result<(Settings, Vec<String>, Vec<String>), String> {
+    let facts = Facts::deserialize(facts).map_err(|e| e.to_string())?;
+    let mut classes = Vec::new();
+    for class in &facts.classes {
+        let scope = match class.dedup_scope.as_str() {
+            "all" => Some(Scope::All),
+            "zone" => Some(Scope::Zone),
+            "cell" => Some(Scope::Cell),
+            _ => None,
+        };
+        // A kind or a scope that is not known is taken to allow no repeat.
+        let repeat = match (class.idempotency.as_str(), scope) {
+            ("free", _) => Repeat::Free,
+            ("guarded", Some(scope)) => Repeat::Guarded { scope, window: class.repeat_window_us },
+            _ => Repeat::SingleShot,
+        };
+        let (aim, deadline) = (class.objective_us, class.deadline_us);
+        classes.push(Class { aim, deadline, worth: class.worth, late_value: class.late_value, repeat });
+    }
+    let limits = &facts.limits;
+    let rules = &facts.invariants;
+    let settings = Settings {
+        balancers: facts.balancers,
+        me: facts.me,
+        tick: facts.tick_us,
+        ask: facts.discovery == "ask",
+        classes,
+        tenants: facts.tenants.iter().map(|t| Tenant { share: t.portion }).collect(),
+        limits: Limits {
+            cancel: limits.cancel,
+            probes: limits.probes,
+            second_copies: limits.second_copies,
+            max_attempts: limits.max_attempts,
+            max_retry_after: if limits.retry_after { limits.max_retry_after_us } else { 0 },
+        },
+        rules: Rules { cold_share: rules.cold_from, cold_time: rules.cold_us, ask_every: rules.ask_every_us },
+        goal: Goal { whole: facts.result_mix.whole, worst_class: facts.result_mix.worst_class },
+    };
+    let names = facts.classes.into_iter().map(|c| c.name).collect();
+    Ok((settings, names, facts.tenants.into_iter().map(|t| t.name).collect()))
+}
--- /dev/null
+++ b/src/api.rs
@@ -0,0 +1,364 @@
+//! The interface of the decision module: settings, events, actions. Times are whole microseconds.
+
+/// A moment or a span, in microseconds.
+pub type Micros = u64;
+
+/// A call (one try of a client), as the proxy numbers it; no number returns.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct CallId(pub u64);
+
+/// A server (a process's place); it keeps its number when the process restarts.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ServerId(pub u32);
+
+/// Place of a class in [`Settings::classes`].
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ClassId(pub usize);
+
+/// Place of a tenant in [`Settings::tenants`].
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TenantId(pub usize);
+
+/// A zone, numbered by the proxy.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ZoneId(pub u32);
+
+/// A cell of servers that drop each other's repeats.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct CellId(pub u32);
+
+/// Which servers drop repeats of a guarded call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Scope {
+    /// All of them.
+    All,
+    /// Those of one zone.
+    Zone,
+    /// Those of one cell.
+    Cell,
+}
+
+/// Whether a call of a class may run again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Repeat {
+    /// Harmless.
+    Free,
+    /// Harmless on the servers of `scope`, within `window` of the first attempt that may have run.
+    Guarded {
+        /// Who drops repeats.
+        scope: Scope,
+        /// For how long.
+        window: Micros,
+    },
+    /// Never.
+    SingleShot,
+}
+
+/// What is asked of a class of calls.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Class {
+    /// An answer within this time earns the full worth.
+    pub aim: Micros,
+    /// How long a client waits in all.
+    pub deadline: Micros,
+    /// Worth of an answer in time.
+    pub worth: f64,
+    /// Share of the worth for an answer between aim and deadline.
+    pub late_value: f64,
+    /// Whether it may run again.
+    pub repeat: Repeat,
+}
+
+impl Default for Class {
+    /// Never repeated, without a time or a worth.
+    fn default() -> Self {
+        Class { aim: 0, deadline: 0, worth: 0.0, late_value: 0.0, repeat: Repeat::SingleShot }
+    }
+}
+
+/// A tenant's part of the service.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Tenant {
+    /// Share of the service, 0 to 1.
+    pub share: f64,
+}
+
+/// What the site allows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// Attempts may be called off.
+    pub cancel: bool,
+    /// Servers may be probed.
+    pub probes: bool,
+    /// A call may have two attempts out at once.
+    pub second_copies: bool,
+    /// Most attempts for a call.
+    pub max_attempts: u32,
+    /// Longest advice that a client heeds; 0 where clients are given none.
+    pub max_retry_after: Micros,
+}
+
+/// Figures of the rules that must hold.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Rules {
+    /// A server starts at this share of its capacity or more.
+    pub cold_share: f64,
+    /// And is warm after this at the latest.
+    pub cold_time: Micros,
+    /// Longest that a proxy may go without asking for the list.
+    pub ask_every: Micros,
+}
+
+/// Weights of the parts of the goal.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Goal {
+    /// All calls together.
+    pub whole: f64,
+    /// The worst-served class.
+    pub worst_class: f64,
+}
+
+/// What a balancer is told at start, for good.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// How many balancers send to these servers, this one included.
+    pub balancers: u32,
+    /// This balancer's number among them, from 0.
+    pub me: u32,
+    /// Smallest step of the proxy's clock.
+    pub tick: Micros,
+    /// Whether news of the server list must be asked for.
+    pub ask: bool,
+    /// Classes of calls.
+    pub classes: Vec<Class>,
+    /// Tenants, if there are any.
+    pub tenants: Vec<Tenant>,
+    /// What the site allows.
+    pub limits: Limits,
+    /// Figures of the rules.
+    pub rules: Rules,
+    /// Weights of the goal.
+    pub goal: Goal,
+}
+
+impl Default for Settings {
+    /// One balancer, a pushed list, one class of calls that are wanted in half a second and never repeated.
+    fn default() -> Self {
+        let repeat = Repeat::SingleShot;
+        Settings {
+            balancers: 1,
+            me: 0,
+            tick: 1_000,
+            ask: false,
+            classes: vec![Class { aim: 500_000, deadline: 1_000_000, worth: 1.0, late_value: 0.0, repeat }],
+            tenants: Vec::new(),
+            limits: Limits {
+                cancel: true,
+                probes: false,
+                second_copies: false,
+                max_attempts: 3,
+                max_retry_after: 1_000_000,
+            },
+            rules: Rules { cold_share: 0.1, cold_time: 20_000_000, ask_every: 10_000_000 },
+            goal: Goal { whole: 1.0, worst_class: 0.0 },
+        }
+    }
+}
+
+/// What the list says of a server.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum State {
+    /// It takes calls.
+    #[default]
+    Ready,
+    /// It finishes its work and takes no more.
+    Draining,
+    /// It has been removed.
+    Gone,
+}
+
+/// An entry of the server list.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Entry {
+    /// Which server.
+    pub server: ServerId,
+    /// What it does.
+    pub state: State,
+    /// Its zone.
+    pub zone: ZoneId,
+    /// Its cell.
+    pub cell: CellId,
+    /// When it last started; 0: long ago.
+    pub started: Micros,
+    /// Its size beside the others', without a unit; what is not above 0 or not finite counts as 1.
+    pub weight: f64,
+}
+
+/// How much of the list a piece of news holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListKind {
+    /// Changed entries only.
+    Delta,
+    /// The whole list.
+    Full,
+    /// The whole list as the proxy last had it, maybe old.
+    Cached,
+    /// None: asking failed or the subscription broke.
+    Failed,
+}
+
+/// How an attempt ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// Served.
+    Served,
+    /// The server answered with an error.
+    Error,
+    /// Turned away unseen: full or draining.
+    TurnedAway,
+    /// No answer in time.
+    TimedOut,
+    /// No connection could be made.
+    NoConnection,
+    /// The connection broke while the attempt was out.
+    Reset,
+    /// Called off by this balancer.
+    CalledOff,
+    /// Never sent.
+    NotSent,
+    /// Anything else; it may have run.
+    Unknown,
+}
+
+impl Outcome {
+    /// Whether this proves that the attempt never ran.
+    pub fn never_ran(self) -> bool {
+        matches!(self, Outcome::TurnedAway | Outcome::NoConnection | Outcome::NotSent)
+    }
+}
+
+/// A server's word on its load; what it does not report is absent.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Load {
+    /// Requests in hand.
+    pub in_hand: Option<f64>,
+    /// Requests waiting.
+    pub waiting: Option<f64>,
+    /// Share of its cores that is busy.
+    pub busy: Option<f64>,
+}
+
+/// What the proxy tells the balancer.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event {
+    /// The proxy comes up. Its saved list, if any, comes next.
+    Start,
+    /// News of the server list.
+    Members {
+        /// How much of it.
+        kind: ListKind,
+        /// The entries.
+        entries: Vec<Entry>,
+    },
+    /// A call has come in.
+    Request {
+        /// Which.
+        call: CallId,
+        /// Its class.
+        class: ClassId,
+        /// Whose it is.
+        tenant: Option<TenantId>,
+        /// How long the client still waits.
+        time_left: Micros,
+        /// The client says that it has tried before.
+        resent: bool,
+    },
+    /// An attempt is over.
+    Outcome {
+        /// Of which call.
+        call: CallId,
+        /// Which attempt, from 0.
+        attempt: u32,
+        /// How it ended.
+        outcome: Outcome,
+        /// How long it took.
+        elapsed: Micros,
+        /// Nothing more is owed for the call.
+        closed: bool,
+        /// The server's report.
+        load: Load,
+    },
+    /// The answer of an attempt has begun to flow; the call is bound to it.
+    Streaming {
+        /// Which call.
+        call: CallId,
+        /// Which attempt.
+        attempt: u32,
+    },
+    /// A probe was answered.
+    Probed {
+        /// By which server.
+        server: ServerId,
+        /// How it ended.
+        outcome: Outcome,
+        /// The server's report.
+        load: Load,
+    },
+    /// Nobody waits for this call any more.
+    Gone {
+        /// Which.
+        call: CallId,
+    },
+    /// A time asked for by [`Action::Wake`] has come.
+    Timer,
+}
+
+/// What the balancer tells the proxy to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// Pass the call to a server; the first pass is attempt 0, the next 1, and so on.
+    Send {
+        /// Which call.
+        call: CallId,
+        /// To which server.
+        server: ServerId,
+        /// When the attempt times out (a moment); `None`: with the client's patience.
+        until: Option<Micros>,
+    },
+    /// End the call unserved; it may safely come again.
+    Refuse {
+        /// Which call.
+        call: CallId,
+        /// Advice when.
+        retry_after: Micros,
+    },
+    /// End the call with an error that promises nothing.
+    Fail {
+        /// Which call.
+        call: CallId,
+    },
+    /// Call off an attempt.
+    Cancel {
+        /// Of which call.
+        call: CallId,
+        /// Which attempt.
+        attempt: u32,
+    },
+    /// Send a health check.
+    Probe {
+        /// To which server.
+        server: ServerId,
+    },
+    /// Send [`Event::Timer`] after this time.
+    Wake {
+        /// How long from now.
+        after: Micros,
+    },
+    /// Subscribe to the server list.
+    Subscribe,
+    /// A line for whoever is on call.
+    Log {
+        /// The line.
+        text: String,
+    },
+}
--- /dev/null
+++ b/src/balance.rs
@@ -0,0 +1,918 @@
+//! All decisions of the balancer. Its interface (settings, events, actions) is `src/api.rs`; the mechanism
+//! and the condition of each departure from it are in `docs/design.md`.
+//!
+//! A call goes to the less-loaded of two random servers under their in-flight budgets, waits in the hold when
+//! all are full, may pass one as the trial that can raise it, and is refused when no server is up.
+
+use crate::api::*;
+use crate::state::{Attempt, Call, Pace, Route, Trial};
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg32;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+// Constants. Spans are ratios to the settings' aims or to observed answer times.
+
+/// Most steps of a budget: A105's default for its connections.
+const STEP_CLAMP: u32 = 10;
+/// Calls in flight at a server over all balancers, for a few cores: at first, when all balancers come at once
+/// and a jam would last; and where mild strain leads, from above or below.
+const START_CONCURRENCY: f64 = 7.0;
+const FLOOR_CONCURRENCY: f64 = 12.0;
+/// What one round leaves of the concurrency at the least (TCP's cut), and what a refusal as full leaves.
+const CUT_MOST: f64 = 0.5;
+const CUT_FULL: f64 = 0.8;
+/// An answer is strained beyond this many times its class's unloaded time: about two calls a core.
+const STRAIN_TIMES: f64 = 3.0;
+/// ... or beyond this share of its aim, whichever is shorter.
+const STRAIN_AIM: f64 = 0.33;
+/// Reported share of busy cores that is as much as an answer at that limit: above it waiting grows steeply.
+const BUSY_FULL: f64 = 0.9;
+/// Strain beyond which a budget is cut below its floor: answers take more than half their aim.
+const STRAIN_DEEP: f64 = 1.5;
+/// What a deep cut leaves of the floor at the least: an idle half of a few cores.
+const DEEP_FLOOR: f64 = 0.2;
+/// Weight of a new answer in a server's strain and in a class's mean: about twenty answers are remembered.
+const SMOOTHING: f64 = 0.1;
+/// Time over which a class's unloaded answer time may drift up to its present mean.
+const BASE_DRIFT: f64 = 120e6;
+/// Weight of a new outcome in a server's share of failures, and the share that sets it aside: two in four.
+const FAIL_WEIGHT: f64 = 0.2;
+const FAIL_LIMIT: f64 = 0.3;
+/// First backoff as a share of the longest aim, and the number of doublings up to its cap.
+const BACKOFF_AIM: f64 = 0.25;
+const BACKOFF_DOUBLINGS: u32 = 4;
+/// Wait in the hold beyond which new calls are refused, as a share of their aim.
+const WAIT_AIM: f64 = 0.1;
+/// Usual answer times that must be left before the aim: for a second copy, and for a protected call to wait.
+const SPARE_TIMES: f64 = 2.0;
+/// Further attempts and second copies that each call earns, and the most that may be saved up.
+const RETRY_EARNED: f64 = 0.2;
+const RETRY_SAVED: f64 = 20.0;
+/// Held calls looked at beyond the first, at an event: it bounds the CPU that a long hold costs.
+const LOOK_PAST: usize = 16;
+/// Memory of how busy a server was kept, in sends of this balancer for each server.
+const BUSY_ROUNDS: f64 = 4.0;
+/// A server's first budget under which all servers share one: half a call, which would round to none.
+const POOL_UNDER: f64 = 0.5;
+/// Usual calls that a shared budget lets go at once; what it is cut to at the least, as a share of the first.
+const POOL_BURST: f64 = 2.0;
+const POOL_FLOOR: f64 = 0.05;
+/// Servers that a shared budget's calls go to at the least, and the mean in flight at each beyond which more.
+const WINDOW_LEAST: usize = 8;
+const WINDOW_BUSY: f64 = 0.05;
+/// Doublings of a zone's backoff up to a server's first: one failed connection says little of a zone.
+const ZONE_DOUBLINGS: u32 = 3;
+/// Memory of the rate of answers.
+const RATE_MEMORY: f64 = 3e6;
+
+type Actions = Vec<Action>;
+
+/// Per-server in-flight budget: steps x concurrency, grown one served trial at a time under a shared backoff.
+#[derive(Debug, Default)]
+struct Budget {
+    steps: u32,
+    concurrency: f64,
+    /// The budget that cuts leave at the least.
+    floor: f64,
+    trial_out: bool,
+    doublings: u32,
+    backoff_end: Micros,
+}
+
+impl Budget {
+    fn new(balancers: u32) -> Self {
+        let of_all = |concurrency: f64| concurrency / f64::from(balancers.max(1));
+        let (concurrency, floor) = (of_all(START_CONCURRENCY), of_all(FLOOR_CONCURRENCY));
+        Budget { steps: 1, concurrency, floor, ..Budget::default() }
+    }
+
+    fn trial_ready(&self, now: Micros) -> bool {
+        !self.trial_out && now >= self.backoff_end
+    }
+
+    fn trial_served(&mut self) {
+        self.doublings = 0;
+        if self.steps < STEP_CLAMP {
+            self.steps += 1;
+        } else {
+            // At the clamp the concurrency figure itself was learned too low: it takes the step instead.
+            self.concurrency *= 1.0 + 1.0 / f64::from(STEP_CLAMP);
+        }
+    }
+
+    fn back_off(&mut self, now: Micros, first: Micros) {
+        self.backoff_end = now + (first << self.doublings);
+        self.doublings = (self.doublings + 1).min(BACKOFF_DOUBLINGS);
+    }
+
+    /// A cut ends at the floor, and comes up to it after a deep one. Deep are a refusal as full, and answers
+    /// near their aim or past it: the server then does far less than the floor supposes.
+    fn cut(&mut self, to: f64, deep: bool) {
+        let least = if deep { self.floor * DEEP_FLOOR } else { self.floor } / f64::from(self.steps.max(1));
+        self.concurrency = (self.concurrency * to.max(CUT_MOST)).max(least);
+    }
+}
+
+/// Do so many answers, or so long a time, since a budget changed tell what the change did?
+fn enough(answers: u32, since: Micros, usual: f64) -> bool {
+    f64::from(answers) * SMOOTHING >= 1.0 || since as f64 >= 2.0 * usual
+}
+
+/// The budget of all servers together, where one server's would be far under a call: a thousand balancers at
+/// a call each would crowd it, and each meets it too seldom to learn what it takes. It bounds the mean number
+/// in flight; its trial and its backoff are shared by all servers.
+#[derive(Debug, Default)]
+struct Pool {
+    budget: Budget,
+    up: f64,
+    /// Time in flight that was taken ahead of the budget, and when that was reckoned.
+    debt: f64,
+    at: Micros,
+    used: f64,
+    strain: f64,
+    answers: u32,
+    changed: Micros,
+    heard: Micros,
+}
+
+impl Pool {
+    fn new(balancers: u32) -> Option<Self> {
+        let mut budget = Budget::new(balancers);
+        budget.floor = budget.concurrency * POOL_FLOOR;
+        (budget.concurrency < POOL_UNDER).then(|| Pool { budget, ..Pool::default() })
+    }
+
+    fn total(&self) -> f64 {
+        f64::from(self.budget.steps) * self.budget.concurrency * self.up
+    }
+
+    fn charge(&mut self, now: Micros, time: f64) {
+        let paid = self.total() * now.saturating_sub(self.at) as f64;
+        (self.debt, self.at) = ((self.debt - paid).max(0.0) + time, now);
+    }
+
+    fn room_at(&self, usual: f64) -> Micros {
+        let over = (self.debt - POOL_BURST * usual).max(0.0) / self.total().max(f64::MIN_POSITIVE);
+        self.at.saturating_add(over as Micros)
+    }
+
+    /// Strain seen at whichever server lowers the budget, counted from what was used of it.
+    fn learn(&mut self, now: Micros, strain: f64, elapsed: f64, usual: f64) {
+        let gap = now.saturating_sub(self.heard) as f64 / RATE_MEMORY;
+        self.heard = now;
+        self.used = self.used * (-gap).exp() + elapsed / RATE_MEMORY;
+        self.strain += (strain - self.strain) * SMOOTHING.max(1.0 - (-gap).exp());
+        self.answers += 1;
+        if self.strain > 1.0 && enough(self.answers, now.saturating_sub(self.changed), usual) {
+            let used = self.used / (f64::from(self.budget.steps) * self.up.max(1.0));
+            self.budget.concurrency = self.budget.concurrency.min(used.max(self.budget.floor));
+            self.budget.cut(1.0 / self.strain, false);
+            self.strain = self.strain.sqrt();
+            (self.answers, self.changed) = (0, now);
+        }
+    }
+}
+
+/// A server as this balancer sees it.
+#[derive(Debug, Default)]
+struct Server {
+    id: ServerId,
+    zone: ZoneId,
+    cell: CellId,
+    listed: bool,
+    started: Micros,
+    in_flight: u32,
+    budget: Budget,
+    weight: f64,
+    /// Time that this balancer's calls lately spent there: it breaks the pick's ties.
+    busy: f64,
+    busy_at: u64,
+    /// Answer times over what its classes allow; 1 is the limit.
+    strain: f64,
+    answers_since: u32,
+    /// Its last report, as strain.
+    crowding: f64,
+    /// When its budget last changed, when an attempt there last ended, and when it last served.
+    changed: Micros,
+    heard: Micros,
+    answered: Micros,
+    /// Recent share of failures.
+    failing: f64,
+    /// It is sent nothing before this time and that many answers of this balancer: it has refused or failed.
+    not_before: Micros,
+    rest: u64,
+    /// While cold it is sent nothing before that many answers of this balancer, or before this time.
+    cold_answers: u64,
+    cold_until: Micros,
+}
+
+impl Server {
+    fn new(entry: &Entry, balancers: u32) -> Self {
+        let &Entry { server: id, zone, cell, started, .. } = entry;
+        Server { id, zone, cell, started, weight: 1.0, budget: Budget::new(balancers), ..Server::default() }
+    }
+
+    /// With few calls there are none in flight at most servers: recent past and listed size tell them apart.
+    fn recent_load(&self, sends: f64, per: f64) -> f64 {
+        self.busy * (-(sends - self.busy_at as f64) / (per * BUSY_ROUNDS)).exp() / self.weight
+    }
+
+    fn kept_busy(&mut self, time: f64, sends: u64, per: f64) {
+        self.busy = self.recent_load(sends as f64, per) * self.weight + time;
+        self.busy_at = sends;
+    }
+
+    /// Share of its capacity that a server has at the least, by the rules' cold share and time.
+    fn warmth(&self, now: Micros, rules: &Rules) -> f64 {
+        let age = now.saturating_sub(self.started);
+        if self.started == 0 || age >= rules.cold_time {
+            return 1.0;
+        }
+        rules.cold_share + (1.0 - rules.cold_share) * age as f64 / rules.cold_time as f64
+    }
+
+    fn full(&self, now: Micros, rules: &Rules) -> bool {
+        let budget = f64::from(self.budget.steps) * self.budget.concurrency * self.warmth(now, rules);
+        self.in_flight >= (budget + 0.5).max(1.0) as u32
+    }
+
+    fn open(&self, now: Micros, served: u64, rules: &Rules) -> bool {
+        let paced = served >= self.cold_answers || now >= self.cold_until || self.warmth(now, rules) >= 1.0;
+        let rested = served >= self.rest || now.saturating_sub(self.heard) as f64 >= 3.0 * RATE_MEMORY;
+        self.listed && now >= self.not_before && paced && rested
+    }
+
+    fn usable(&self, now: Micros, served: u64, rules: &Rules) -> bool {
+        self.budget.steps > 0 && self.open(now, served, rules)
+    }
+
+    fn settled(&self, now: Micros, usual: f64) -> bool {
+        let answers = self.answers_since;
+        answers >= self.in_flight.max(1) && enough(answers, now.saturating_sub(self.changed), usual)
+    }
+
+    fn returning(&self, now: Micros, served: u64, rules: &Rules) -> bool {
+        self.budget.steps == 0 && self.budget.trial_ready(now) && self.open(now, served, rules)
+    }
+}
+
+impl Call {
+    fn aim_at(&self) -> Micros {
+        let aim = if self.class.late_value > 0.0 { self.class.deadline } else { self.class.aim };
+        self.deadline.min(self.arrived.saturating_add(aim))
+    }
+
+    /// May this call go again, here? Proof over all its attempts decides, never the last outcome alone.
+    fn may_go(&self, now: Micros, server: &Server, tick: Micros) -> bool {
+        match (self.binding(), self.class.repeat) {
+            (None, _) | (_, Repeat::Free) => true,
+            (Some(_), Repeat::SingleShot) => false,
+            (Some(first), Repeat::Guarded { scope, window }) => {
+                let inside = match scope {
+                    Scope::All => true,
+                    Scope::Zone => first.zone == server.zone,
+                    Scope::Cell => first.cell == server.cell,
+                };
+                inside && now.saturating_add(tick) < first.sent.saturating_add(window)
+            }
+        }
+    }
+
+    fn may_be_refused(&self) -> bool {
+        let harmless = matches!(self.class.repeat, Repeat::Free | Repeat::Guarded { scope: Scope::All, .. });
+        harmless || self.binding().is_none()
+    }
+}
+
+impl Pace {
+    fn answered(&mut self, now: Micros, elapsed: f64) {
+        self.seen = self.seen.saturating_add(1);
+        let sample = if self.seen > 8 { elapsed.min(8.0 * self.base) } else { elapsed };
+        self.mean += (sample - self.mean) * (1.0 / f64::from(self.seen)).max(SMOOTHING / 2.0);
+        let drift = (now.saturating_sub(self.at) as f64 / BASE_DRIFT).min(1.0);
+        self.at = now;
+        let drifted = if self.seen <= 8 { self.mean } else { self.base + (self.mean - self.base) * drift };
+        self.base = self.mean.min(drifted).max(1.0);
+    }
+}
+
+/// Decides for one client proxy.
+#[derive(Debug)]
+pub struct Balancer {
+    settings: Settings,
+    random: Pcg32,
+    servers: Vec<Server>,
+    pool: Option<Pool>,
+    /// By zone: connections that failed in a row, and until when it is passed over.
+    cut_off: BTreeMap<ZoneId, (u32, Micros)>,
+    calls: BTreeMap<CallId, Call>,
+    hold: VecDeque<CallId>,
+    wakes: BTreeSet<(Micros, CallId)>,
+    paces: Vec<Pace>,
+    tenants: Vec<f64>,
+    retries: f64,
+    listed: usize,
+    aside: usize,
+    sends: u64,
+    served: u64,
+    timer_at: Micros,
+    ask_at: Micros,
+    ask_failures: u32,
+}
+
+impl Balancer {
+    /// A balancer that draws all its random numbers from `seed`.
+    pub fn new(seed: u64, settings: Settings) -> Self {
+        let pace = |c: &Class| Pace { mean: c.aim as f64 / 4.0, base: c.aim as f64 / 4.0, ..Pace::default() };
+        Balancer {
+            random: Pcg32::seed_from_u64(seed),
+            paces: settings.classes.iter().map(pace).collect(),
+            tenants: vec![0.0; settings.tenants.len()],
+            pool: Pool::new(settings.balancers),
+            settings,
+            servers: Vec::new(),
+            cut_off: BTreeMap::new(),
+            calls: BTreeMap::new(),
+            hold: VecDeque::new(),
+            wakes: BTreeSet::new(),
+            retries: RETRY_SAVED,
+            listed: 0,
+            aside: 0,
+            sends: 0,
+            served: 0,
+            timer_at: Micros::MAX,
+            ask_at: Micros::MAX,
+            ask_failures: 0,
+        }
+    }
+
+    /// Takes one event at time `now` and appends what is to be done.
+    pub fn handle(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
+        // A call that comes behind others changes nothing for them; in overload most do.
+        let stands = matches!(event, Event::Request { .. }) && !self.hold.is_empty();
+        match event {
+            Event::Start if self.settings.ask => actions.push(Action::Subscribe),
+            Event::Members { kind, entries } => self.members(now, kind, &entries),
+            Event::Request { call, class, tenant, time_left, .. } if !self.calls.contains_key(&call) => {
+                self.request(now, call, class, time_left);
+                self.admit(now, call, tenant, actions);
+            }
+            Event::Outcome { call, attempt, outcome, elapsed, closed, load } => {
+                self.report(call, attempt, load);
+                if let Some(tried) = self.outcome(call, attempt, outcome) {
+                    self.learn(now, tried, outcome, elapsed, actions);
+                    self.proceed(now, call, outcome, closed, actions);
+                }
+            }
+            Event::Streaming { call, attempt } => {
+                // The client has its answer: nothing more is owed.
+                self.end(call);
+                self.cancel_others(call, Some(attempt), actions);
+            }
+            Event::Gone { call } => {
+                self.end(call);
+                self.cancel_others(call, None, actions);
+                self.forget(call);
+            }
+            // Of several alarms only the one due now counts: else each would set another for good.
+            Event::Timer if now >= self.timer_at => self.timer_at = Micros::MAX,
+            Event::Timer | Event::Start | Event::Probed { .. } | Event::Request { .. } => {}
+        }
+        self.wake_calls(now, actions);
+        if !stands {
+            self.drain_hold(now, actions);
+        }
+        if now >= self.ask_at {
+            self.ask_at = Micros::MAX;
+            actions.push(Action::Subscribe);
+        }
+        self.set_timer(now, actions);
+    }
+
+    // The list.
+
+    fn members(&mut self, now: Micros, kind: ListKind, entries: &[Entry]) {
+        if kind == ListKind::Failed {
+            // Jitter keeps balancers that lost the list together from asking together again.
+            let wait = (self.settings.rules.ask_every / 32) << self.ask_failures.min(3);
+            self.ask_failures += 1;
+            if self.settings.ask {
+                self.ask_at = now + wait / 2 + self.below(wait);
+            }
+            return;
+        }
+        self.ask_failures *= u32::from(kind == ListKind::Cached);
+        self.servers.iter_mut().for_each(|s| s.listed &= kind == ListKind::Delta);
+        for entry in entries {
+            let found = self.servers.binary_search_by_key(&entry.server, |s| s.id);
+            let place = found.unwrap_or_else(|place| place);
+            // A restart under the same number is a new, cold process: nothing learned of the old one holds.
+            if found.is_err() || entry.started > self.servers[place].started {
+                let mut server = Server::new(entry, self.settings.balancers);
+                server.kept_busy(self.longest_usual(), self.sends, 1.0);
+                // Balancers hear of a cold server together: each waits a random part before its first call.
+                let (gap, span) = self.cold_gap(now, &server);
+                server.cold_answers = self.served.saturating_add(self.below(gap));
+                server.cold_until = now.saturating_add(self.below(span));
+                self.servers.splice(place..place + usize::from(found.is_ok()), [server]);
+            }
+            let server = &mut self.servers[place];
+            server.listed = entry.state == State::Ready;
+            (server.zone, server.cell) = (entry.zone, entry.cell);
+            server.weight = if entry.weight.is_finite() && entry.weight > 0.0 { entry.weight } else { 1.0 };
+        }
+        self.servers.retain(|s| s.listed || s.in_flight > 0);
+        self.count();
+    }
+
+    fn request(&mut self, now: Micros, id: CallId, class: ClassId, left: Micros) {
+        // A class that the settings do not name is unsafe and wanted while the client waits.
+        let unknown = Class { aim: left, deadline: left, ..Class::default() };
+        let spec = self.settings.classes.get(class.0).copied().unwrap_or(unknown);
+        let deadline = now.saturating_add(left);
+        let (class, class_id, arrived) = (spec, class.0, now);
+        self.calls.insert(id, Call { class, class_id, arrived, deadline, ..Call::default() });
+        self.retries = (self.retries + RETRY_EARNED).min(RETRY_SAVED);
+        self.paces.iter_mut().skip(class_id).take(1).for_each(|p| p.asked += 1.0);
+    }
+
+    /// Lets a new call join the hold, unless it would wait too long there.
+    fn admit(&mut self, now: Micros, id: CallId, tenant: Option<TenantId>, actions: &mut Actions) {
+        let over_share = tenant.is_some_and(|t| self.over_share(t));
+        let waited = self.hold.front().map_or(0, |head| now.saturating_sub(self.calls[head].arrived));
+        if waited > self.wait_limit(id, over_share) {
+            self.give_up(id, waited, actions);
+        } else {
+            self.enqueue(now, id, false);
+        }
+    }
+
+    /// How long may the hold's head have waited for this call to join? Without a bound all would be served
+    /// late. Classes whose worth for their work outweighs the goal's part of the worst class wait longest.
+    fn wait_limit(&self, id: CallId, over_share: bool) -> Micros {
+        let call = &self.calls[&id];
+        let usual = self.usual(call.class_id, call.class.aim);
+        let aim = call.aim_at().saturating_sub(call.arrived) as f64;
+        let limit = match over_share {
+            true => aim * WAIT_AIM / 2.0,
+            false if self.protected(call) => (aim * WAIT_AIM).max(aim - SPARE_TIMES * usual),
+            false => aim * WAIT_AIM,
+        };
+        limit.min(aim - usual).max(0.0) as Micros
+    }
+
+    fn protected(&self, call: &Call) -> bool {
+        let all = self.paces.iter().zip(&self.settings.classes);
+        let (worth, work) =
+            all.fold((0.0, 0.0), |(w, t), (p, c)| (w + p.asked * c.worth, t + p.asked * p.base));
+        let base = self.paces.get(call.class_id).map_or(f64::MAX, |p| p.base);
+        let density = call.class.worth / base * work / worth.max(f64::MIN_POSITIVE);
+        let goal = &self.settings.goal;
+        goal.whole * density > goal.whole + goal.worst_class
+    }
+
+    /// Counts a tenant's call and tells whether it asks for more than its share of this balancer's calls.
+    fn over_share(&mut self, tenant: TenantId) -> bool {
+        let Some(share) = self.settings.tenants.get(tenant.0).map(|t| t.share) else { return true };
+        for (index, asked) in self.tenants.iter_mut().enumerate() {
+            *asked += (if index == tenant.0 { 1.0 } else { 0.0 } - *asked) * SMOOTHING / 10.0;
+        }
+        let all: f64 = self.tenants.iter().sum();
+        self.tenants[tenant.0] > all * share * 1.1
+    }
+
+    fn usual(&self, class_id: usize, aim: Micros) -> f64 {
+        self.paces.get(class_id).map_or(aim as f64 / 4.0, |p| p.mean)
+    }
+
+    /// Puts a call into the hold; one that goes again is older than those waiting and goes to the front.
+    fn enqueue(&mut self, now: Micros, id: CallId, again: bool) {
+        let Some(call) = self.calls.get_mut(&id) else { return };
+        call.held = true;
+        // Its way out: when a usual answer could not come in time, and always before the client gives up.
+        let (class_id, aim, last) =
+            (call.class_id, call.class.aim, call.deadline.saturating_sub(self.settings.tick));
+        let wake = call.aim_at().saturating_sub(self.usual(class_id, aim) as Micros).max(now + 1);
+        self.set_wake(id, wake.min(last.max(now)).max(1));
+        self.hold.insert(if again { 0 } else { self.hold.len() }, id);
+    }
+
+    /// Notes an attempt's end; late, double and unknown ones change nothing.
+    fn outcome(&mut self, id: CallId, attempt: u32, outcome: Outcome) -> Option<Attempt> {
+        let call = self.calls.get_mut(&id)?;
+        let tried = call.attempts.get_mut(attempt as usize).filter(|a| a.outcome.is_none())?;
+        tried.outcome = Some(outcome);
+        Some(*tried)
+    }
+
+    /// After an attempt's end: the call's end, another attempt, or nothing while a copy is out.
+    fn proceed(&mut self, now: Micros, id: CallId, outcome: Outcome, closed: bool, actions: &mut Actions) {
+        if closed || outcome == Outcome::Served {
+            self.end(id);
+            self.cancel_others(id, None, actions);
+        } else if self.calls.get(&id).is_some_and(|c| !c.ended && !c.held && c.out() == 0) {
+            self.again(now, id, outcome, actions);
+        }
+        self.forget(id);
+    }
+
+    /// What a server says of itself: as many waiting as in work, or nearly all cores busy, is as much as an
+    /// answer at its limit. It tells a crowded server from one whose calls mostly wait on others.
+    fn report(&mut self, id: CallId, attempt: u32, load: Load) {
+        let Some(tried) = self.calls.get(&id).and_then(|c| c.attempts.get(attempt as usize)) else { return };
+        let Ok(place) = self.servers.binary_search_by_key(&tried.server, |s| s.id) else { return };
+        let crowding = match load {
+            Load { in_hand: Some(in_hand), waiting: Some(waiting), .. } => {
+                waiting / (in_hand - waiting).max(1.0)
+            }
+            Load { busy: Some(busy), .. } => busy / BUSY_FULL,
+            _ => return,
+        };
+        self.servers[place].crowding = if crowding.is_finite() { crowding.clamp(0.0, 4.0) } else { 0.0 };
+    }
+
+    /// What a server's answer, or its absence, teaches.
+    fn learn(&mut self, now: Micros, tried: Attempt, outcome: Outcome, took: Micros, actions: &mut Actions) {
+        let Attempt { server: id, zone, started, class_id, sent, trial, .. } = tried;
+        let elapsed = took.max(now.saturating_sub(sent));
+        let (first, longest, longest_aim) = (self.first_backoff(), self.longest_usual(), self.longest_aim());
+        let per = self.window() as f64;
+        let usual = self.usual(class_id, self.settings.classes.get(class_id).map_or(0, |c| c.aim));
+        let pace = self.paces.get_mut(class_id);
+        let aim = self.settings.classes.get(class_id).map_or(f64::MAX, |c| c.aim as f64);
+        let base = pace.as_ref().map_or(f64::MAX, |p| p.base);
+        // A shared budget cannot spare the one server that is slow: it heeds what the aim leaves for waiting.
+        let pool_limit = (base * STRAIN_TIMES).min(base + (aim - base) * STRAIN_AIM).max(base);
+        let limit = (base * STRAIN_TIMES).min(aim * STRAIN_AIM).max(base);
+        if let Some(pool) = &mut self.pool {
+            pool.charge(now, elapsed as f64 - usual);
+            pool.budget.trial_out &= trial != Trial::Pool;
+            if !matches!(outcome, Outcome::CalledOff | Outcome::NotSent | Outcome::NoConnection) {
+                let full = if outcome == Outcome::TurnedAway { 1.0 / CUT_MOST } else { 0.0 };
+                pool.learn(now, (elapsed as f64 / pool_limit).min(4.0).max(full), elapsed as f64, longest);
+            }
+            match outcome {
+                _ if trial != Trial::Pool => {}
+                Outcome::Served => pool.budget.trial_served(),
+                _ => pool.budget.back_off(now, first),
+            }
+        }
+        // A zone that is cut off fails server by server: after a few in a row it is passed over as a whole.
+        let lost = matches!(outcome, Outcome::NoConnection | Outcome::Reset);
+        let cut = self.cut_off.entry(zone).or_default();
+        if lost && self.pool.is_some() {
+            let doublings = cut.0.min(BACKOFF_DOUBLINGS + ZONE_DOUBLINGS);
+            *cut = (cut.0.saturating_add(1), now + ((first << doublings) >> ZONE_DOUBLINGS));
+        } else if !matches!(outcome, Outcome::TimedOut | Outcome::CalledOff | Outcome::NotSent) {
+            *cut = (0, 0);
+        }
+        let Ok(place) = self.servers.binary_search_by_key(&id, |s| s.id) else { return };
+        let server = &mut self.servers[place];
+        if server.started != started {
+            return; // What a server's last process did says nothing of the new one.
+        }
+        server.in_flight = server.in_flight.saturating_sub(1);
+        // What was not served counts as a whole aim: quick refusals and errors must not make it look idle.
+        let least = if outcome == Outcome::Served { 0.0 } else { longest_aim };
+        server.kept_busy(least.max(elapsed as f64), self.sends, per);
+        let strain = (elapsed as f64 / limit).min(4.0);
+        let failed = match outcome {
+            Outcome::Served => false,
+            // Late while others are answered: the server is slow, not gone, and is sent less, not nothing.
+            Outcome::TimedOut if server.answered > sent => false,
+            Outcome::CalledOff | Outcome::NotSent => {
+                server.budget.trial_out &= trial != Trial::Server;
+                return;
+            }
+            _ => true,
+        };
+        // A time-out proves less than an error: a crowded server may owe a lone call for that long.
+        let weight = if outcome == Outcome::TimedOut { FAIL_WEIGHT / 2.0 } else { FAIL_WEIGHT };
+        server.failing += (if failed { 1.0 } else { 0.0 } - server.failing) * weight;
+        // Few answers a second must not make the strain a memory of long ago.
+        let gap = now.saturating_sub(server.heard) as f64 / longest_aim;
+        let weight = SMOOTHING.max(1.0 - (-gap).exp());
+        server.heard = now;
+        if !failed {
+            server.strain += (strain.max(server.crowding) - server.strain) * weight;
+            server.answers_since += 1;
+        }
+        // Answers alone would make the mean that of the lucky: late ones count for what was waited.
+        pace.filter(|_| !failed).into_iter().for_each(|p| p.answered(now, elapsed as f64));
+        if outcome == Outcome::Served {
+            server.answered = now;
+            self.served += 1;
+        }
+        // Latency well above an unloaded server's is the sign, beside refusals, of too much in flight.
+        if outcome == Outcome::TurnedAway {
+            server.budget.cut(CUT_FULL, true);
+            // Fast refusals leave it looking idle: without a pause it would draw in call after call.
+            server.not_before = server.not_before.max(now + longest as Micros);
+        } else if server.strain > 1.0 && server.settled(now, longest) {
+            server.budget.cut(1.0 / server.strain, server.strain > STRAIN_DEEP);
+            server.strain = server.strain.sqrt(); // The cut answers for part of it: one jam is cut for once.
+            (server.answers_since, server.changed) = (0, now);
+        }
+        let was_up = server.budget.steps > 0;
+        server.budget.steps -= u32::from(lost && was_up);
+        server.budget.trial_out &= trial != Trial::Server;
+        if trial == Trial::Server {
+            if outcome != Outcome::Served {
+                server.budget.back_off(now, first);
+            } else if was_up || server.failing < FAIL_LIMIT / 2.0 {
+                server.budget.trial_served();
+                (server.answers_since, server.changed) = (0, now);
+                if !was_up {
+                    actions.push(Action::Log { text: format!("server {} taken back", server.id.0) });
+                }
+            }
+        }
+        // Fast errors and refusals make a server look idle: its budget alone would draw calls in.
+        if was_up && server.failing > FAIL_LIMIT && (self.aside + 1) * 2 <= self.listed {
+            server.budget.steps = 0;
+        }
+        if was_up && server.budget.steps == 0 {
+            server.budget.back_off(now, first);
+            // What it showed before says nothing of how it will be when it comes back.
+            server.strain = 1.0;
+            actions.push(Action::Log { text: format!("server {} set aside", server.id.0) });
+        }
+        // Many balancers that each try it now and then are no rest: it is tried by a part of the usual calls.
+        if self.pool.is_some() && (outcome == Outcome::TurnedAway || server.budget.steps == 0) {
+            server.rest = self.served + ((per as u64) << server.budget.doublings);
+        }
+        self.count();
+    }
+
+    /// Trouble seen at most of the fleet is not the servers' own: never are most set aside.
+    fn count(&mut self) {
+        self.listed = self.servers.iter().filter(|s| s.listed).count();
+        self.aside = self.servers.iter().filter(|s| s.listed && s.budget.steps == 0).count();
+        self.pool.iter_mut().for_each(|p| p.up = (self.listed - self.aside) as f64);
+    }
+
+    /// After an attempt that did not serve: again, or the end.
+    fn again(&mut self, now: Micros, id: CallId, outcome: Outcome, actions: &mut Actions) {
+        let call = &self.calls[&id];
+        let in_time = now as f64 + self.usual(call.class_id, call.class.aim) < call.aim_at() as f64;
+        let some = self.servers.iter().any(|s| s.listed && call.may_go(now, s, self.settings.tick));
+        let more = (call.attempts.len() as u32) < self.settings.limits.max_attempts;
+        if in_time && some && more && (self.retries >= 1.0 || outcome == Outcome::NoConnection) {
+            self.retries = (self.retries - 1.0).max(0.0);
+            self.enqueue(now, id, true);
+        } else {
+            self.give_up(id, 0, actions);
+        }
+    }
+
+    fn give_up(&mut self, id: CallId, retry_after: Micros, actions: &mut Actions) {
+        let retry_after = retry_after.min(self.settings.limits.max_retry_after);
+        let refused = self.calls[&id].may_be_refused();
+        actions.push(if refused {
+            Action::Refuse { call: id, retry_after }
+        } else {
+            Action::Fail { call: id }
+        });
+        self.end(id);
+        self.cancel_others(id, None, actions);
+        self.forget(id);
+    }
+
+    fn end(&mut self, id: CallId) {
+        self.set_wake(id, 0);
+        let Some(call) = self.calls.get_mut(&id) else { return };
+        call.ended = true;
+        if std::mem::take(&mut call.held) {
+            if let Some(index) = self.hold.iter().position(|&held| held == id) {
+                self.hold.remove(index);
+            }
+        }
+    }
+
+    fn cancel_others(&mut self, id: CallId, but: Option<u32>, actions: &mut Actions) {
+        let Some(call) = self.calls.get(&id).filter(|_| self.settings.limits.cancel) else { return };
+        let out = (0..).zip(&call.attempts).filter(|(n, a)| a.outcome.is_none() && Some(*n) != but);
+        actions.extend(out.map(|(attempt, _)| Action::Cancel { call: id, attempt }));
+    }
+
+    fn forget(&mut self, id: CallId) {
+        if self.calls.get(&id).is_some_and(|c| c.ended && c.out() == 0) {
+            self.calls.remove(&id);
+        }
+    }
+
+    /// Send, hold or refuse?
+    fn route(&mut self, now: Micros, id: CallId) -> Route {
+        let call = &self.calls[&id];
+        let (rules, tick) = (&self.settings.rules, self.settings.tick);
+        let longest = self.longest_usual();
+        let ready = |s: &Server| {
+            s.budget.trial_ready(now)
+                && s.strain <= 1.0
+                && (s.changed == 0 || s.settled(now, longest))
+                && s.warmth(now, rules) >= 1.0
+        };
+        let full_pool = self.pool.as_ref().filter(|p| p.up > 0.0 && p.room_at(longest) > now);
+        let pool_full = full_pool.is_some();
+        if full_pool.is_some_and(|p| p.strain > 1.0 || !p.budget.trial_ready(now)) {
+            return Route::Hold;
+        }
+        let near = |s: &Server| self.cut_off.get(&s.zone).is_none_or(|cut| now >= cut.1);
+        let allowed = |s: &Server| s.usable(now, self.served, rules) && near(s) && call.may_go(now, s, tick);
+        // Windows begin at even distances on the ring of servers: each server is in as many as any other.
+        let len = self.servers.len();
+        let start = self.settings.me as usize * len / self.settings.balancers.max(1) as usize;
+        let ring = || (start..start + len).map(|i| i % len).filter(|&i| allowed(&self.servers[i]));
+        let fresh = ring().any(|i| call.untried(self.servers[i].id));
+        let untried = ring().filter(|&i| !fresh || call.untried(self.servers[i].id));
+        let up: Vec<usize> = untried.take(self.window()).collect();
+        let of =
+            |room: &dyn Fn(&Server) -> bool| up.iter().copied().filter(|&i| room(&self.servers[i])).collect();
+        let (room, trials): (Vec<_>, Vec<_>) = (of(&|s| !s.full(now, rules)), of(&ready));
+        let trial = if pool_full { Trial::Pool } else { Trial::No };
+        match self.two_choices(&up).filter(|server| room.contains(server)) {
+            Some(server) => Route::Send { server, trial },
+            None => match (self.two_choices(&room), self.two_choices(&trials)) {
+                (Some(server), _) => Route::Send { server, trial },
+                (None, Some(_)) if pool_full => Route::Hold,
+                (None, Some(server)) => Route::Send { server, trial: Trial::Server },
+                (None, None) => {
+                    let all = self.servers.iter().filter(|s| s.listed);
+                    let down = all.clone().all(|s| s.budget.steps == 0);
+                    let first = all.map(|s| s.budget.backoff_end).min().filter(|_| down);
+                    first.map_or(Route::Hold, |at| Route::Refuse {
+                        retry_after: at.saturating_sub(now).max(self.first_backoff()),
+                    })
+                }
+            },
+        }
+    }
+
+    /// How many servers calls are spread over: a thin balancer that went to all would open a connection for
+    /// nearly every call, past what servers accept, and would learn of none of them.
+    fn window(&self) -> usize {
+        let busy = self.pool.as_ref().map_or(f64::MAX, |p| p.used / WINDOW_BUSY);
+        (busy as usize).max(WINDOW_LEAST).min(self.servers.len())
+    }
+
+    /// The less loaded of two random ones by own calls in flight; the recent past breaks ties.
+    fn two_choices(&mut self, among: &[usize]) -> Option<usize> {
+        let len = among.len() as u64;
+        let first = self.below(len);
+        let a = *among.get(first as usize)?;
+        let b = among[((first + 1 + self.below(len - 1)) % len) as usize];
+        let (sends, per) = (self.sends as f64, self.window() as f64);
+        let tie = |s: &Server| if self.pool.is_some() { s.recent_load(sends, per) } else { s.strain };
+        let load = |i: usize| (self.servers[i].in_flight, tie(&self.servers[i]));
+        Some(if load(b) < load(a) { b } else { a })
+    }
+
+    fn send(&mut self, now: Micros, id: CallId, place: usize, trial: Trial, actions: &mut Actions) {
+        let (gap, span) = self.cold_gap(now, &self.servers[place]);
+        let server = &mut self.servers[place];
+        (server.cold_answers, server.cold_until) =
+            (self.served.saturating_add(gap), now.saturating_add(span));
+        self.sends += 1;
+        server.in_flight += 1;
+        server.budget.trial_out |= trial == Trial::Server;
+        let Some(call) = self.calls.get_mut(&id) else { return };
+        let &mut Server { id: server, started, zone, cell, .. } = server;
+        let (class_id, sent, outcome) = (call.class_id, now, None);
+        call.attempts.push(Attempt { server, started, zone, cell, class_id, sent, trial, outcome });
+        let copies = call.attempts.len();
+        // An answer after the aim is worth little: its server is better used by others.
+        let (aim, arrived) = (call.aim_at(), call.arrived);
+        let (deadline, usual) = (call.deadline, self.usual(class_id, self.calls[&id].class.aim));
+        if let Some(pool) = &mut self.pool {
+            pool.charge(now, usual);
+            pool.budget.trial_out |= trial == Trial::Pool;
+        }
+        let until = (aim < deadline && aim as f64 > now as f64 + usual).then_some(aim);
+        actions.push(Action::Send { call: id, server, until });
+        // The latest moment at which a second copy can still be in time, but not before the first is slow.
+        let copy_at = (aim as f64 - SPARE_TIMES * usual).max(arrived as f64 + 1.5 * usual);
+        // A shared budget tells nothing of one server: the copy would only add to the work.
+        let copies = copies == 1 && self.settings.limits.second_copies && self.pool.is_none();
+        let copy = copies && copy_at + usual <= aim as f64;
+        self.set_wake(id, if copy { (copy_at as Micros).max(now + 1) } else { 0 });
+    }
+
+    /// Own answers for each call to a cold server, by its stated share of what a warm one does: any number
+    /// of balancers keep it safe so, and fast refusals earn nothing. Without answers it is tried after a span
+    /// that leaves it less than one call in flight from all.
+    fn cold_gap(&self, now: Micros, server: &Server) -> (u64, Micros) {
+        let rules = &self.settings.rules;
+        let (warmth, size) = (server.warmth(now, rules), self.servers.len().max(1) as f64);
+        if warmth >= 1.0 {
+            return (0, 0);
+        }
+        let up = self.servers.iter().filter(|s| s.listed);
+        let warm = up.map(|s| s.weight * s.warmth(now, rules)).sum::<f64>();
+        let share = (server.weight / warm).min(1.0 / size) * warmth;
+        ((1.0 / share) as u64, (self.longest_aim() * f64::from(self.settings.balancers) / warmth) as Micros)
+    }
+
+    fn drain_hold(&mut self, now: Micros, actions: &mut Actions) {
+        for place in 0..self.servers.len() {
+            if self.servers[place].returning(now, self.served, &self.settings.rules) {
+                // Only a call that never went: a bound one may go to some servers alone.
+                let mut held = self.hold.iter().take(LOOK_PAST);
+                if let Some(index) = held.position(|id| self.calls[id].attempts.is_empty()) {
+                    let id = self.hold[index];
+                    self.take(index);
+                    self.send(now, id, place, Trial::Server, actions);
+                }
+            }
+        }
+        let mut index = 0;
+        while let Some(&id) = self.hold.get(index) {
+            match self.route(now, id) {
+                Route::Send { server, trial } => {
+                    self.take(index);
+                    self.send(now, id, server, trial, actions);
+                }
+                Route::Refuse { retry_after } => self.give_up(id, retry_after, actions),
+                // Arrival order: the first that stays keeps the rest, unless bound to some servers.
+                Route::Hold if self.calls[&id].binding().is_some() && index < LOOK_PAST => index += 1,
+                Route::Hold => break,
+            }
+        }
+    }
+
+    fn take(&mut self, index: usize) {
+        if let Some(call) = self.hold.remove(index).and_then(|id| self.calls.get_mut(&id)) {
+            call.held = false;
+        }
+    }
+
+    fn wake_calls(&mut self, now: Micros, actions: &mut Actions) {
+        while let Some(&(_, id)) = self.wakes.first().filter(|wake| wake.0 <= now) {
+            self.set_wake(id, 0);
+            if self.calls[&id].held {
+                self.give_up(id, 0, actions);
+            } else {
+                self.second_copy(now, id, actions);
+            }
+        }
+    }
+
+    /// A second copy for a call that is late on a server that may have stalled, while others have room.
+    fn second_copy(&mut self, now: Micros, id: CallId, actions: &mut Actions) {
+        let call = &self.calls[&id];
+        let tick = self.settings.tick;
+        let more = (call.attempts.len() as u32) < self.settings.limits.max_attempts && call.out() == 1;
+        let some = |s: &Server| {
+            s.usable(now, self.served, &self.settings.rules)
+                && call.may_go(now, s, tick)
+                && call.untried(s.id)
+        };
+        let spare = self.retries >= 1.0 && self.hold.is_empty();
+        if !more || !spare || !self.servers.iter().any(some) {
+            return;
+        }
+        if let Route::Send { server, trial: Trial::No } = self.route(now, id) {
+            self.retries -= 1.0;
+            self.send(now, id, server, Trial::No, actions);
+        }
+    }
+
+    fn set_wake(&mut self, id: CallId, at: Micros) {
+        let Some(call) = self.calls.get_mut(&id) else { return };
+        if call.wake != 0 {
+            self.wakes.remove(&(call.wake, id));
+        }
+        call.wake = at;
+        if at != 0 {
+            self.wakes.insert((at, id));
+        }
+    }
+
+    /// One timer for everything that is due by time alone.
+    fn set_timer(&mut self, now: Micros, actions: &mut Actions) {
+        let mut next = self.ask_at.min(self.wakes.first().map_or(Micros::MAX, |w| w.0));
+        if !self.hold.is_empty() {
+            // Budgets, backoffs and pauses end at no event: held calls are looked at now and then.
+            next = next.min(now + self.settings.tick.max(self.first_backoff() / 8));
+        }
+        if next < self.timer_at {
+            self.timer_at = next;
+            actions.push(Action::Wake { after: next.saturating_sub(now).max(1) });
+        }
+    }
+
+    fn first_backoff(&self) -> Micros {
+        ((self.longest_aim() * BACKOFF_AIM) as Micros).max(1_000)
+    }
+
+    fn longest_aim(&self) -> f64 {
+        self.settings.classes.iter().map(|c| c.aim).max().unwrap_or(0).max(1) as f64
+    }
+
+    fn longest_usual(&self) -> f64 {
+        self.paces.iter().map(|p| p.mean).fold(1.0, f64::max)
+    }
+
+    fn below(&mut self, bound: u64) -> u64 {
+        (u64::from(self.random.next_u32()) * bound.min(u64::from(u32::MAX))) >> 32
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,38 @@
+//! ochrepond makes the decisions of a sidecar balancer for service-to-service calls: which server
+//! gets a call, when a call waits, goes again, is refused or fails. It does no I/O and reads no clock.
+//!
+//! A client proxy makes one [`Balancer`], feeds it [`Event`]s and carries out the [`Action`]s:
+//!
+//! ```
+//! use ochrepond::{Action, Balancer, CallId, ClassId, Entry, Event, ListKind, ServerId, Settings, State};
+//!
+//! let mut balancer = Balancer::new(7, Settings::default());
+//! let mut actions = Vec::new();
+//! balancer.handle(0, Event::Start, &mut actions);
+//! let entries = vec![Entry { server: ServerId(1), state: State::Ready, ..Entry::default() }];
+//! balancer.handle(0, Event::Members { kind: ListKind::Full, entries }, &mut actions);
+//! let call = CallId(1);
+//! let event = Event::Request { call, class: ClassId(0), tenant: None, time_left: 500_000, resent: false };
+//! balancer.handle(1_000, event, &mut actions);
+//! for action in actions.drain(..) {
+//!     match action {
+//!         Action::Send { call, server, .. } => println!("pass {call:?} to {server:?}"),
+//!         Action::Wake { after } => println!("send Event::Timer in {after} us"),
+//!         other => println!("{other:?}"),
+//!     }
+//! }
+//! ```
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+mod api;
+mod balance;
+mod state;
+
+pub use api::*;
+pub use balance::Balancer;
+
+/// The README's example is compiled as a test too.
+#[cfg(doctest)]
+#[doc = include_str!("../README.md")]
+struct Readme;
--- /dev/null
+++ b/tests/rules.rs
@@ -0,0 +1,492 @@
+//! The four rules, and the failures that were met: each test fails without the code that answers it.
+
+mod common;
+use common::*;
+use ochrepond::*;
+
+const CELL: Repeat = Repeat::Guarded { scope: Scope::Cell, window: 400 * MS };
+
+fn two_cells() -> Vec<Entry> {
+    (1..=4).map(|i| Entry { cell: CellId(i % 2), zone: ZoneId(i % 2), ..ready(i) }).collect()
+}
+
+// No lost request.
+
+#[test]
+fn held_calls_are_ended_before_their_client_gives_up() {
+    for repeat in [Repeat::Free, Repeat::SingleShot, CELL] {
+        let mut proxy = Proxy::new(settings(repeat), 0);
+        let (call, mut actions) = proxy.call();
+        assert!(sent(&actions).is_empty());
+        while !refused(&actions, call) {
+            let after =
+                actions.iter().find_map(|a| if let Action::Wake { after } = a { Some(*after) } else { None });
+            actions = proxy.wait(after.expect("a timer for the held call"));
+        }
+        assert!(proxy.now < 1_000_000 + 1_200 * MS);
+    }
+}
+
+#[test]
+fn the_deadlines_own_no_answer_ends_the_call() {
+    for (repeat, may_refuse) in [(Repeat::Free, true), (Repeat::SingleShot, false), (CELL, false)] {
+        let mut proxy = Proxy::new(settings(repeat), 1);
+        let (call, _) = proxy.call();
+        proxy.now += 1_200 * MS;
+        let actions = proxy.end(call, 0, Outcome::TimedOut, 1_200 * MS);
+        assert_eq!(refused(&actions, call), may_refuse);
+        assert_eq!(failed(&actions, call), !may_refuse);
+        assert!(sent(&proxy.call().1).iter().all(|s| s.0 != call));
+    }
+}
+
+// No duplicated effect.
+
+const CODES: [Outcome; 8] = [
+    Outcome::Error,
+    Outcome::TurnedAway,
+    Outcome::TimedOut,
+    Outcome::NoConnection,
+    Outcome::Reset,
+    Outcome::CalledOff,
+    Outcome::NotSent,
+    Outcome::Unknown,
+];
+
+#[test]
+fn each_outcome_against_each_kind_of_call() {
+    let guarded = |scope| Repeat::Guarded { scope, window: 400 * MS };
+    let kinds =
+        [Repeat::Free, Repeat::SingleShot, guarded(Scope::All), guarded(Scope::Zone), guarded(Scope::Cell)];
+    for repeat in kinds {
+        for first in CODES {
+            for second in CODES {
+                let mut proxy = Proxy::new(settings(repeat), 0);
+                proxy.list(ListKind::Full, two_cells());
+                let (call, actions) = proxy.call();
+                let home = sent(&actions)[0].1;
+                proxy.now += MS;
+                let actions = proxy.end(call, 0, first, MS);
+                let again = sent(&actions);
+                let proven = first.never_ran();
+                if repeat == Repeat::SingleShot && !proven {
+                    assert!(again.is_empty() && failed(&actions, call), "{first:?}");
+                    continue;
+                }
+                assert_eq!(again.len(), 1, "{repeat:?} after {first:?}");
+                let bound = matches!(repeat, Repeat::Guarded { scope: Scope::Zone | Scope::Cell, .. });
+                if bound && !proven {
+                    assert_eq!(again[0].1 .0 % 2, home.0 % 2, "stays with its group");
+                }
+                // The second attempt's end, then the last chance gone: refused only where harmless.
+                proxy.now += 450 * MS;
+                let actions = proxy.end(call, 1, second, MS);
+                let harmless = match repeat {
+                    Repeat::Free | Repeat::Guarded { scope: Scope::All, .. } => true,
+                    _ => proven && second.never_ran(),
+                };
+                assert!(sent(&actions).is_empty(), "too late to be in time");
+                assert_eq!(refused(&actions, call), harmless, "{repeat:?} {first:?} {second:?}");
+                assert_eq!(failed(&actions, call), !harmless);
+            }
+        }
+    }
+}
+
+#[test]
+fn a_guarded_call_does_not_go_again_after_its_window() {
+    let mut proxy = Proxy::new(settings(Repeat::Guarded { scope: Scope::Cell, window: 100 * MS }), 4);
+    let (call, _) = proxy.call();
+    proxy.now += 100 * MS;
+    let actions = proxy.end(call, 0, Outcome::Error, 100 * MS);
+    assert!(sent(&actions).is_empty() && failed(&actions, call));
+}
+
+#[test]
+fn second_copies_go_out_only_where_allowed_and_their_losers_are_called_off() {
+    for (repeat, allowed, copies) in
+        [(Repeat::Free, true, 1), (Repeat::Free, false, 0), (Repeat::SingleShot, true, 0)]
+    {
+        let mut settings = settings(repeat);
+        settings.limits.second_copies = allowed;
+        let mut proxy = Proxy::new(settings, 3);
+        for _ in 0..20 {
+            proxy.serve(40 * MS);
+        }
+        let (call, actions) = proxy.call();
+        let home = sent(&actions)[0].1;
+        let actions = proxy.wait(430 * MS);
+        let copy = sent(&actions);
+        assert_eq!(copy.len(), copies);
+        if copies == 1 {
+            assert_ne!(copy[0].1, home);
+            let actions = proxy.end(call, 1, Outcome::Served, 30 * MS);
+            assert!(actions.contains(&Action::Cancel { call, attempt: 0 }));
+        }
+    }
+}
+
+#[test]
+fn a_stream_is_bound_to_its_attempt() {
+    let mut settings = settings(Repeat::Free);
+    settings.limits.second_copies = true;
+    let mut proxy = Proxy::new(settings, 3);
+    let (call, _) = proxy.call();
+    proxy.event(Event::Streaming { call, attempt: 0 });
+    assert!(sent(&proxy.wait(450 * MS)).is_empty(), "no second copy");
+    let actions = proxy.end(call, 0, Outcome::Reset, 450 * MS);
+    assert!(sent(&actions).is_empty());
+}
+
+// Safe drain.
+
+#[test]
+fn nothing_goes_to_a_draining_or_gone_server_also_after_a_cached_list() {
+    for kind in [ListKind::Delta, ListKind::Full] {
+        for state in [State::Draining, State::Gone] {
+            let mut proxy = Proxy::new(settings(Repeat::Free), 0);
+            proxy.list(ListKind::Cached, vec![ready(1), ready(2)]);
+            proxy.list(kind, vec![Entry { state, ..ready(1) }, ready(2)]);
+            for _ in 0..50 {
+                assert_eq!(proxy.serve(MS), Some(ServerId(2)));
+            }
+        }
+    }
+    let mut proxy = Proxy::new(settings(Repeat::Free), 2);
+    proxy.list(ListKind::Full, vec![ready(2)]);
+    for _ in 0..50 {
+        assert_eq!(proxy.serve(MS), Some(ServerId(2)), "what a full list leaves out is gone");
+    }
+}
+
+// Safe fail-back.
+
+/// Sends within six seconds to a server beside two or three warm ones, when it started just now and ends attempts with `outcome`.
+fn sends_to_cold(outcome: Outcome, restart: bool) -> usize {
+    let mut proxy = Proxy::new(settings(Repeat::Free), 3);
+    for _ in 0..200 {
+        proxy.serve(10 * MS);
+    }
+    let id = if restart { 1 } else { 4 };
+    proxy.list(ListKind::Delta, vec![Entry { started: proxy.now, ..ready(id) }]);
+    let mut count = 0;
+    for _ in 0..600 {
+        let (call, actions) = proxy.call();
+        let mut last = sent(&actions).first().map(|s| s.1);
+        proxy.now += 10 * MS;
+        let mut attempt = 0;
+        while let Some(server) = last {
+            let cold = server == ServerId(id);
+            count += usize::from(cold);
+            let end = if cold { outcome } else { Outcome::Served };
+            let actions = proxy.end(call, attempt, end, 10 * MS);
+            last = sent(&actions).iter().find(|s| s.0 == call).map(|s| s.1);
+            attempt += 1;
+        }
+    }
+    count
+}
+
+#[test]
+fn a_cold_server_gets_its_part_also_when_it_refuses_or_fails_fast_and_after_a_restart() {
+    for outcome in [Outcome::Served, Outcome::TurnedAway, Outcome::Error, Outcome::NoConnection] {
+        for restart in [false, true] {
+            let count = sends_to_cold(outcome, restart);
+            // A warm server's part of 600 calls is 150 to 200; this one has a tenth to a third of its capacity.
+            assert!((1..=60).contains(&count), "{outcome:?} {restart}: {count}");
+        }
+    }
+}
+
+// Failures that were met.
+
+#[test]
+fn fast_errors_set_a_server_aside_though_it_looks_idle() {
+    let mut proxy = Proxy::new(settings(Repeat::SingleShot), 4);
+    let mut errors = 0;
+    for _ in 0..200 {
+        let (call, actions) = proxy.call();
+        let bad = sent(&actions)[0].1 == ServerId(1);
+        errors += usize::from(bad);
+        proxy.now += 2 * MS;
+        proxy.end(call, 0, if bad { Outcome::Error } else { Outcome::Served }, 2 * MS);
+    }
+    assert!(errors <= 4, "{errors}");
+}
+
+#[test]
+fn one_good_answer_does_not_bring_back_a_server_that_fails_most() {
+    let mut proxy = Proxy::new(settings(Repeat::Free), 4);
+    let mut to_bad = 0;
+    for round in 0..400 {
+        let (call, actions) = proxy.call();
+        let mut at = sent(&actions).first().map(|s| s.1);
+        proxy.now += 5 * MS;
+        let mut attempt = 0;
+        while let Some(server) = at {
+            let bad = server == ServerId(1);
+            to_bad += usize::from(bad);
+            let end = if bad && to_bad % 3 != 0 { Outcome::Error } else { Outcome::Served };
+            at = sent(&proxy.end(call, attempt, end, 5 * MS)).iter().find(|s| s.0 == call).map(|s| s.1);
+            attempt += 1;
+        }
+        assert!(round < 400);
+    }
+    assert!(to_bad <= 40, "a healthy one would get 100 or more: {to_bad}");
+}
+
+#[test]
+fn most_of_the_fleet_is_never_set_aside() {
+    let mut proxy = Proxy::new(settings(Repeat::SingleShot), 6);
+    for _ in 0..100 {
+        let (call, actions) = proxy.call();
+        assert_eq!(sent(&actions).len(), 1, "half of the fleet still takes calls");
+        proxy.now += 2 * MS;
+        proxy.end(call, 0, Outcome::Error, 2 * MS);
+    }
+}
+
+#[test]
+fn the_hold_is_bounded_by_time_so_that_not_all_are_served_late() {
+    let mut proxy = Proxy::new(settings(Repeat::SingleShot), 1);
+    let mut early = 0;
+    for _ in 0..60 {
+        proxy.now += 10 * MS;
+        let (call, actions) = proxy.call();
+        early += usize::from(refused(&actions, call));
+    }
+    assert!(early > 20, "calls that would wait too long are refused as they come: {early}");
+}
+
+#[test]
+fn a_lost_subscription_is_asked_for_again_with_a_pause() {
+    let mut proxy = Proxy::new(Settings { ask: true, ..settings(Repeat::Free) }, 2);
+    assert!(proxy.actions.contains(&Action::Subscribe), "at the start");
+    let actions = proxy.list(ListKind::Failed, vec![]);
+    assert!(!actions.contains(&Action::Subscribe), "not at once");
+    let after = actions.iter().find_map(|a| if let Action::Wake { after } = a { Some(*after) } else { None });
+    assert!(proxy.wait(after.expect("a timer")).contains(&Action::Subscribe));
+    assert_eq!(proxy.serve(MS).map(|s| s.0 <= 2), Some(true), "the old list stands");
+    let mut push = Proxy::new(settings(Repeat::Free), 1);
+    push.list(ListKind::Failed, vec![]);
+    push.wait(60_000 * MS);
+    assert!(!push.actions.contains(&Action::Subscribe), "only where the list must be asked for");
+}
+
+#[test]
+fn a_server_that_refuses_as_full_is_left_alone_for_a_usual_answer_time() {
+    let mut proxy = Proxy::new(settings(Repeat::Free), 2);
+    for _ in 0..30 {
+        proxy.serve(40 * MS);
+    }
+    let mut to_full = 0;
+    for _ in 0..20 {
+        // Two ms a round: 40 ms in all, one usual time.
+        let (call, actions) = proxy.call();
+        let mut at = sent(&actions).first().map(|s| s.1);
+        proxy.now += 2 * MS;
+        let mut attempt = 0;
+        while let Some(server) = at {
+            let full = server == ServerId(1);
+            to_full += usize::from(full);
+            let end = if full { Outcome::TurnedAway } else { Outcome::Served };
+            at = sent(&proxy.end(call, attempt, end, 2 * MS)).iter().find(|s| s.0 == call).map(|s| s.1);
+            attempt += 1;
+        }
+    }
+    assert!(to_full <= 2, "{to_full}");
+}
+
+/// A proxy of a thousand, whose servers share one budget, of which a burst of three and the trial are out.
+fn thin() -> (Proxy, Vec<CallId>) {
+    let mut proxy = Proxy::new(Settings { balancers: 1_000, ..settings(Repeat::Free) }, 20);
+    let out: Vec<CallId> = (0..4).map(|_| proxy.call().0).collect();
+    assert_eq!(sent(&proxy.actions).len(), 4, "three at once, and one as the trial");
+    (proxy, out)
+}
+
+#[test]
+fn of_a_thousand_balancers_each_has_one_budget_for_all_servers_and_one_trial_at_a_time() {
+    let (mut proxy, out) = thin();
+    let (held, actions) = proxy.call();
+    assert!(sent(&actions).is_empty(), "sixteen servers are idle, but the budget is used and the trial out");
+    proxy.now += 50 * MS;
+    let actions = proxy.end(out[3], 0, Outcome::Served, 50 * MS);
+    assert_eq!(sent(&actions).first().map(|s| s.0), Some(held), "the trial was served: the next may pass");
+}
+
+#[test]
+fn a_failed_trial_of_the_shared_budget_backs_off_from_all_servers() {
+    let (mut proxy, out) = thin();
+    proxy.now += 400 * MS;
+    let actions = proxy.end(out[3], 0, Outcome::TimedOut, 400 * MS);
+    assert!(sent(&actions).iter().all(|s| s.0 == out[3]), "no call of another client is passed");
+    assert!(sent(&proxy.call().1).is_empty(), "the backoff holds back calls to every server");
+}
+
+#[test]
+fn strain_seen_anywhere_lowers_the_shared_budget() {
+    let calls = |elapsed: Micros| {
+        let mut proxy = Proxy::new(Settings { balancers: 1_000, ..settings(Repeat::Free) }, 20);
+        (0..20).for_each(|_| drop((proxy.serve(40 * MS), proxy.wait(1_000 * MS))));
+        (0..20).for_each(|_| drop((proxy.serve(elapsed), proxy.wait(1_000 * MS))));
+        (0..20).filter(|_| (proxy.wait(100 * MS), proxy.serve(elapsed)).1.is_some()).count()
+    };
+    assert!(calls(40 * MS) > calls(450 * MS), "slow answers of several servers hold calls back");
+}
+
+#[test]
+fn alarms_do_not_beget_alarms_for_good() {
+    let mut proxy = Proxy::new(settings(Repeat::Free), 0);
+    (0..50).for_each(|_| drop(proxy.call()));
+    let mut due = std::collections::BinaryHeap::new();
+    let (mut alarms, mut seen) = (0, 0);
+    loop {
+        for action in &proxy.actions[seen..] {
+            if let Action::Wake { after } = action {
+                due.push(std::cmp::Reverse(proxy.now + after));
+            }
+        }
+        seen = proxy.actions.len();
+        let Some(std::cmp::Reverse(at)) = due.pop() else { break };
+        proxy.now = proxy.now.max(at);
+        proxy.event(Event::Timer);
+        alarms += 1;
+        assert!(alarms < 1_000, "50 calls end within a second");
+    }
+}
+
+#[test]
+fn a_strained_server_gets_no_trials() {
+    let mut proxy = Proxy::new(settings(Repeat::SingleShot), 1);
+    for _ in 0..10 {
+        proxy.serve(40 * MS);
+    }
+    for _ in 0..30 {
+        proxy.serve(400 * MS);
+        proxy.wait(600 * MS);
+    }
+    assert_eq!(sent(&proxy.call().1).len(), 1);
+    assert!((0..5).all(|_| sent(&proxy.call().1).is_empty()), "a second call at once would be a trial");
+}
+
+#[test]
+fn time_outs_of_a_server_that_answers_others_do_not_set_it_aside() {
+    let mut proxy = Proxy::new(Settings { balancers: 1, ..settings(Repeat::SingleShot) }, 3);
+    let mut log = Vec::new();
+    for _ in 0..30 {
+        // Of the calls at each server the first is answered and the others time out.
+        let calls: Vec<(CallId, Vec<Action>)> = (0..9).map(|_| proxy.call()).collect();
+        let at = |i: usize| sent(&calls[i].1).first().map(|s| s.1);
+        let first = |i: usize| (0..i).all(|j| at(j) != at(i));
+        proxy.now += 100 * MS;
+        for i in (0..9).filter(|&i| at(i).is_some() && first(i)) {
+            proxy.end(calls[i].0, 0, Outcome::Served, 100 * MS);
+        }
+        proxy.now += 400 * MS;
+        for i in (0..9).filter(|&i| at(i).is_some() && !first(i)) {
+            log.extend(proxy.end(calls[i].0, 0, Outcome::TimedOut, 500 * MS));
+        }
+        proxy.wait(600 * MS);
+    }
+    let failures = log.iter().filter(|a| matches!(a, Action::Fail { .. })).count();
+    assert!(failures > 20, "too few timed out to tell: {failures}");
+    let aside =
+        log.iter().filter(|a| matches!(a, Action::Log { text } if text.contains("set aside"))).count();
+    assert_eq!(aside, 0, "slow, not gone");
+}
+
+/// Answers of 40 ms with the given report; then: does a second call at once pass the full budget as a trial?
+fn trial_after(load: Load) -> bool {
+    let mut proxy = Proxy::new(Settings { balancers: 12, ..settings(Repeat::SingleShot) }, 1);
+    for _ in 0..40 {
+        let (call, _) = proxy.call();
+        proxy.now += 40 * MS;
+        let (outcome, elapsed) = (Outcome::Served, 40 * MS);
+        proxy.event(Event::Outcome { call, attempt: 0, outcome, elapsed, closed: true, load });
+        proxy.wait(100 * MS);
+    }
+    assert_eq!(sent(&proxy.call().1).len(), 1, "the budget's own call");
+    sent(&proxy.call().1).len() == 1
+}
+
+#[test]
+fn reported_queues_and_busy_cores_strain_a_server_that_still_answers_fast() {
+    let busy = |b| Load { busy: Some(b), ..Load::default() };
+    let queue = |w| Load { in_hand: Some(10.0), waiting: Some(w), ..Load::default() };
+    assert!(trial_after(Load::default()) && trial_after(busy(0.5)) && trial_after(queue(1.0)));
+    assert!(!trial_after(busy(1.0)), "cores that are all busy");
+    assert!(!trial_after(queue(5.5)), "more waiting than in work");
+}
+
+/// How many balancers' calls a cold server gets per thousand answers of warm ones, from a thousand balancers.
+#[test]
+fn a_thousand_balancers_together_stay_under_a_cold_servers_share() {
+    let (mut cold, mut all) = (0, 0);
+    for me in 0..1_000 {
+        let mut proxy = Proxy::new(Settings { balancers: 1_000, me, ..settings(Repeat::Free) }, 20);
+        (0..3).for_each(|_| drop((proxy.wait(500 * MS), proxy.serve(40 * MS))));
+        let started = proxy.now;
+        proxy.list(ListKind::Delta, vec![Entry { started, ..ready(21) }]);
+        for _ in 0..4 {
+            proxy.wait(500 * MS);
+            all += 1;
+            cold += usize::from(proxy.serve(40 * MS) == Some(ServerId(21)));
+        }
+    }
+    // Two seconds after its start it has a tenth to a fifth of its capacity; each warm one carries a twentieth.
+    assert!(cold * 20 <= all / 5, "{cold} of {all}");
+}
+
+#[test]
+fn a_restarted_server_is_not_judged_by_its_last_process() {
+    let mut proxy = Proxy::new(Settings { balancers: 1, ..settings(Repeat::Free) }, 1);
+    let calls: Vec<CallId> = (0..6).map(|_| proxy.call().0).collect();
+    let started = proxy.now;
+    proxy.list(ListKind::Delta, vec![Entry { started, ..ready(1) }]);
+    for call in calls {
+        proxy.end(call, 0, Outcome::Reset, 5 * MS);
+    }
+    let aside = |a: &Action| matches!(a, Action::Log { text } if text.contains("set aside"));
+    assert!(!proxy.actions.iter().any(aside), "the new process has failed nothing");
+}
+
+#[test]
+fn a_zone_that_is_cut_off_is_passed_over_as_a_whole() {
+    let zoned = |i| Entry { zone: ZoneId(i % 2), ..ready(i) };
+    let mut proxy = Proxy::new(Settings { balancers: 1_000, ..settings(Repeat::Free) }, 0);
+    proxy.list(ListKind::Full, (1..=40).map(zoned).collect());
+    let mut lost = 0;
+    for _ in 0..40 {
+        proxy.now += 100 * MS;
+        let (call, actions) = proxy.call();
+        let mut at = sent(&actions).first().map(|s| s.1);
+        for attempt in 0..5 {
+            let Some(server) = at else { break };
+            let cut = server.0 % 2 == 1;
+            lost += u32::from(cut);
+            proxy.now += 20 * MS;
+            let end = if cut { Outcome::NoConnection } else { Outcome::Served };
+            at = sent(&proxy.end(call, attempt, end, 20 * MS)).iter().find(|s| s.0 == call).map(|s| s.1);
+        }
+    }
+    assert!(lost < 16, "twenty servers out of reach must not each be found out: {lost}");
+}
+
+#[test]
+fn a_server_that_fails_is_tried_by_a_part_of_the_usual_calls_however_slowly_they_come() {
+    // A call a second, so that most come past a backoff by time: a thousand such balancers would give it no rest.
+    let limits = Limits { max_attempts: 1, ..Settings::default().limits };
+    let mut proxy = Proxy::new(Settings { balancers: 1_000, limits, ..settings(Repeat::Free) }, 8);
+    let mut tried = 0;
+    for _ in 0..200 {
+        proxy.now += 1_000 * MS;
+        let (call, actions) = proxy.call();
+        let Some(&(_, server)) = sent(&actions).first() else { continue };
+        let bad = server == ServerId(1);
+        tried += u32::from(bad);
+        proxy.now += 20 * MS;
+        proxy.end(call, 0, if bad { Outcome::TurnedAway } else { Outcome::Served }, 20 * MS);
+    }
+    assert!(tried < 25, "an eighth of 200 is its usual part: {tried}");
+}
