--- a/adapter/src/main.rs
+++ b/adapter/src/main.rs
@@ -2,7 +2,6 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
-mod settings;
 mod wire;
 
 use ochrepond::{Action, Balancer, CallId, ClassId, Entry, Event, ListKind, Outcome, ServerId, TenantId};
@@ -82,7 +81,8 @@
         if verb == "CREATE" {
             let facts = need(input.facts, verb, "facts")?;
             let seed = need(input.seed, verb, "seed")?;
-            let (settings, classes, tenants) = settings::read(&facts).map_err(|e| format!("facts: {e}"))?;
+            let (settings, classes, tenants) =
+                ochrepond_settings::read(&facts).map_err(|e| format!("facts: {e}"))?;
             let balancer = Balancer::new(seed, settings);
             let (numbers, names) = (HashMap::new(), HashMap::new());
             let instance = Instance { balancer, classes, tenants, numbers, names, next: 0 };
--- a/adapter/src/wire.rs
+++ b/adapter/src/wire.rs
@@ -1,6 +1,7 @@
 //! Messages of the wire, as they are read and written.
 
-use ochrepond::{CellId, Entry, Load, Outcome, ServerId, State, ZoneId};
+use ochrepond::{CellId, Entry, Load, Outcome, ServerId, State};
+use ochrepond_settings::zone;
 use serde::{Deserialize, Serialize};
 use std::borrow::Cow;
 
@@ -87,11 +88,6 @@
     }
 }
 
-/// A number for a zone's name (FNV-1a), the same wherever it is met.
-pub fn zone(name: &str) -> ZoneId {
-    ZoneId(name.bytes().fold(0x811c_9dc5, |hash, byte| (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193)))
-}
-
 pub fn outcome(code: &str) -> Outcome {
     match code {
         "served" => Outcome::Served,
--- /dev/null
+++ b/proxy/src/discovery.rs
@@ -0,0 +1,106 @@
+//! The list of hosts: its form, and the watch that brings its changes.
+
+use crate::upstream::{self, BoxError};
+use http_body_util::{BodyExt, Empty};
+use hyper::body::Bytes;
+use hyper::{header, Request, StatusCode};
+use hyper_util::rt::TokioIo;
+use serde::Deserialize;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::time::timeout;
+
+/// A heartbeat comes every 2 s: a watch that is silent for two and a half of them is taken for dead.
+const SILENCE: Duration = Duration::from_secs(5);
+/// Longest line of a watch; a longer one is not a list of any fleet that one proxy serves.
+const LINE_MOST: usize = 4 << 20;
+
+/// The whole list of hosts, or the entries that changed.
+#[derive(Clone, Debug, Deserialize)]
+pub struct List {
+    /// Version of the list.
+    pub seq: u64,
+    /// Whether this is all of it.
+    pub whole: bool,
+    /// The entries.
+    pub hosts: Vec<Host>,
+}
+
+/// An entry of the list.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Host {
+    /// Its name, the same for every proxy.
+    pub host: String,
+    /// Where it listens.
+    pub dial: SocketAddr,
+    /// Its zone.
+    #[serde(default)]
+    pub site: String,
+    /// The set of hosts that drop each other's repeats.
+    #[serde(default)]
+    pub block: u32,
+    /// What it does.
+    pub health: Health,
+    /// Its size beside the others'.
+    #[serde(default)]
+    pub share: f64,
+    /// When it last started, Unix time in milliseconds; 0: long ago.
+    #[serde(default)]
+    pub born_ms: u64,
+}
+
+/// What the list says of a host.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
+pub enum Health {
+    /// It takes requests.
+    Ready,
+    /// It finishes what it has.
+    Terminating,
+    /// It has been removed.
+    Gone,
+}
+
+/// Watches the list from version `since` on and passes on what comes, until the watch ends. It returns why:
+/// the connection broke or ended, the answer was not 200, a line was bad, or nothing came for too long.
+pub async fn watch(discovery: SocketAddr, since: Option<u64>, mut news: impl FnMut(List)) -> BoxError {
+    match follow(discovery, since, &mut news).await {
+        Ok(()) => "the watch ended".into(),
+        Err(reason) => reason,
+    }
+}
+
+async fn follow(
+    discovery: SocketAddr,
+    since: Option<u64>,
+    news: &mut impl FnMut(List),
+) -> Result<(), BoxError> {
+    let stream = timeout(SILENCE, upstream::dial(discovery)).await??;
+    let (mut sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await?;
+    let _connection = upstream::spawn(connection);
+    let since = since.map(|seq| format!("&since={seq}")).unwrap_or_default();
+    let request = Request::get(format!("/catalog/members?follow=1{since}"))
+        .header(header::HOST, discovery.to_string())
+        .body(Empty::<Bytes>::new())?;
+    let response = timeout(SILENCE, sender.send_request(request)).await??;
+    if response.status() != StatusCode::OK {
+        return Err(format!("discovery answered {}", response.status()).into());
+    }
+    let mut body = response.into_body();
+    let mut pending = Vec::new();
+    while let Some(frame) = timeout(SILENCE, body.frame()).await? {
+        let Ok(data) = frame?.into_data() else { continue };
+        for piece in data.split_inclusive(|&byte| byte == b'\n') {
+            if pending.len() + piece.len() > LINE_MOST {
+                return Err("a line is too long".into());
+            }
+            pending.extend_from_slice(piece);
+            if piece.ends_with(b"\n") {
+                if !pending.trim_ascii().is_empty() {
+                    news(serde_json::from_slice(&pending)?);
+                }
+                pending.clear();
+            }
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/proxy/src/lib.rs
@@ -0,0 +1,28 @@
+//! nettleworks is a client proxy: it takes an application's requests and passes each to a host of a fleet, as
+//! the decision module `ochrepond` says.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+pub mod config;
+pub mod discovery;
+pub mod driver;
+pub mod server;
+pub mod upstream;
+
+use config::Config;
+use std::future::Future;
+use std::io::{self, Write};
+use std::rc::Rc;
+use tokio::net::TcpListener;
+
+/// Writes a line to the log. A log that cannot be written to is no reason to stop serving.
+fn log(line: &str) {
+    let _ = writeln!(io::stderr(), "nettleworks: {line}");
+}
+
+/// Serves until `stop` is done and all that was taken is answered. Runs inside a [`tokio::task::LocalSet`].
+pub async fn run(config: Config, listener: TcpListener, stop: impl Future<Output = ()>) {
+    let driver = driver::Handle::start(Rc::new(config));
+    server::serve(listener, driver.clone(), stop).await;
+    driver.log_counts();
+}
--- /dev/null
+++ b/proxy/src/main.rs
@@ -0,0 +1,37 @@
+//! The program: reads the configuration, serves, and stops on SIGTERM.
+#![forbid(unsafe_code)]
+
+use nettleworks::config::Config;
+use nettleworks::server;
+use std::io::Write;
+use std::path::Path;
+use std::process::ExitCode;
+use tokio::runtime;
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::task::LocalSet;
+
+fn main() -> ExitCode {
+    match start() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(reason) => {
+            let _ = writeln!(std::io::stderr(), "nettleworks: {}", reason.replace('\n', " "));
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn start() -> Result<(), String> {
+    let path = std::env::var_os("ROUTER_CONFIG").ok_or("ROUTER_CONFIG is not set")?;
+    let config = Config::load(Path::new(&path))?;
+    let runtime = runtime::Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string())?;
+    LocalSet::new().block_on(&runtime, async {
+        let mut terminate = signal(SignalKind::terminate()).map_err(|e| e.to_string())?;
+        let listener = server::listen(config.listen).map_err(|e| format!("{}: {e}", config.listen))?;
+        let stop = async move {
+            terminate.recv().await;
+        };
+        nettleworks::run(config, listener, stop).await;
+        // What is left are tasks without a client: timers, the watch, idle connections.
+        Ok(())
+    })
+}
--- a/adapter/src/settings.rs
+++ b/settings/src/lib.rs
@@ -1,6 +1,9 @@
-//! The first message's settings. Unknown keys are ignored, absent ones get harmless values.
+//! A site's settings, as the simulator's first message and a proxy's configuration hold them. Unknown keys
+//! are ignored, absent ones get harmless values.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
 
-use ochrepond::{Class, Goal, Limits, Repeat, Rules, Scope, Settings, Tenant};
+use ochrepond::{Class, Goal, Limits, Repeat, Rules, Scope, Settings, Tenant, ZoneId};
 use serde::Deserialize;
 use serde_json::Value;
 
@@ -130,3 +133,8 @@
     let names = facts.classes.into_iter().map(|c| c.name).collect();
     Ok((settings, names, facts.tenants.into_iter().map(|t| t.name).collect()))
 }
+
+/// A number for a zone's name (FNV-1a), the same wherever it is met.
+pub fn zone(name: &str) -> ZoneId {
+    ZoneId(name.bytes().fold(0x811c_9dc5, |hash, byte| (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193)))
+}
--- a/src/api.rs
+++ b/src/api.rs
@@ -208,7 +208,7 @@
 }
 
 /// How an attempt ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Outcome {
     /// Served.
     Served,
