Read load reports under the settings' names; keep room for new clients

Checked: a unit test on that very text fails with the old names.

Also: idle clients could hold all places up to the head's time limit (60 s), and a half-sent request could hold the process at its stop. At the limit the connection that has been idle the longest is closed; the stop is bounded.

--- a/proxy/src/server.rs
+++ b/proxy/src/server.rs
@@ -11,21 +11,26 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::server::graceful::GracefulShutdown;
 use ochrepond::{ClassId, Repeat, TenantId};
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
 use std::pin::pin;
-use std::sync::Arc;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::task::{spawn_local, yield_now, JoinHandle};
 use tokio::time::{sleep, timeout, timeout_at, Instant};
 
 /// Connections that may wait to be accepted.
 const BACKLOG: u32 = 1_024;
 /// How long new connections are still taken after the order to stop; they come for up to 0.4 s.
 const STOP_DELAY: Duration = Duration::from_millis(500);
+/// How long open requests are waited for after that: the longest deadline.
+const STOP_MOST: Duration = Duration::from_secs(3);
+/// A connection that had its last answer this long ago has surely sent it.
+const IDLE_LEAST: Duration = Duration::from_secs(1);
 /// The part of a client's time that is kept for the answer's way back.
 const WAY_BACK: Duration = Duration::from_millis(10);
 /// Time for a request's head, from a connection's start or its last answer: one that says nothing is closed.
@@ -45,70 +50,104 @@
 /// Serves until `stop` is done, then goes on for as long as new connections may come, then closes connections
 /// between requests and returns when none is left.
 pub async fn serve(listener: TcpListener, driver: Handle, stop: impl Future<Output = ()>) {
-    let graceful = GracefulShutdown::new();
-    let places = Arc::new(Semaphore::new(driver.config().connections_each_way()));
+    let mut clients = Clients { driver, graceful: GracefulShutdown::new(), open: Vec::new() };
     let mut stop = pin!(async {
         stop.await;
         sleep(STOP_DELAY).await;
     });
-    let accept = || async {
-        let place = places.clone().acquire_owned().await.ok()?;
-        match listener.accept().await {
-            Ok((stream, _)) => Some((stream, place)),
-            Err(error) => {
-                log(&format!("accept: {error}"));
-                sleep(ACCEPT_PAUSE).await;
-                None
-            }
-        }
-    };
     loop {
         tokio::select! {
-            accepted = accept() => if let Some((stream, place)) = accepted {
-                spawn_connection(stream, place, &driver, &graceful);
+            () = clients.room() => {}
+            () = &mut stop => break,
+        }
+        tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => clients.serve(stream),
+                Err(error) => {
+                    log(&format!("accept: {error}"));
+                    sleep(ACCEPT_PAUSE).await;
+                }
             },
             () = &mut stop => break,
         }
     }
     // What the machine has accepted by now has been taken: closing the listener would reset it.
-    while let Ok(accepted) = timeout(Duration::ZERO, accept()).await {
-        if let Some((stream, place)) = accepted {
-            spawn_connection(stream, place, &driver, &graceful);
-        }
+    while clients.has_room() {
+        let Ok(Ok((stream, _))) = timeout(Duration::ZERO, listener.accept()).await else { break };
+        clients.serve(stream);
     }
     drop(listener);
-    graceful.shutdown().await;
+    // Whoever has sent half a request by then, or does not read its answer, must not keep the process.
+    let _ = timeout(STOP_MOST, clients.graceful.shutdown()).await;
 }
 
-fn spawn_connection(
-    stream: TcpStream,
-    place: OwnedSemaphorePermit,
-    driver: &Handle,
-    graceful: &GracefulShutdown,
-) {
-    if let Err(error) = stream.set_nodelay(true) {
-        log(&format!("nodelay: {error}"));
+/// A client's connection: its task, and since when no request is open on it (`None`: one is).
+struct Client {
+    task: JoinHandle<()>,
+    idle: Rc<Cell<Option<Instant>>>,
+}
+
+/// The connections of clients.
+struct Clients {
+    driver: Handle,
+    graceful: GracefulShutdown,
+    open: Vec<Client>,
+}
+
+impl Clients {
+    /// Waits until one more connection may be open. At the limit the one that has been idle the longest is
+    /// closed: clients that keep connections and say nothing must not keep others out.
+    async fn room(&mut self) {
+        while !self.has_room() {
+            let oldest = self.open.iter().filter_map(|c| Some((c.idle.get()?, c))).min_by_key(|(at, _)| *at);
+            // One that has just been answered may still have its answer on the way.
+            match oldest.filter(|(since, _)| since.elapsed() > IDLE_LEAST) {
+                Some((_, client)) => client.task.abort(),
+                None => sleep(ACCEPT_PAUSE).await,
+            }
+            yield_now().await;
+        }
+    }
+
+    fn has_room(&mut self) -> bool {
+        self.open.retain(|client| !client.task.is_finished());
+        self.open.len() < self.driver.config().connections_each_way()
+    }
+
+    fn serve(&mut self, stream: TcpStream) {
+        if let Err(error) = stream.set_nodelay(true) {
+            log(&format!("nodelay: {error}"));
+        }
+        let idle = Rc::new(Cell::new(Some(Instant::now())));
+        let (driver, state) = (self.driver.clone(), idle.clone());
+        let service = service_fn(move |request| {
+            let (driver, state) = (driver.clone(), state.clone());
+            async move {
+                state.set(None);
+                let answer = answer(driver, request).await;
+                state.set(Some(Instant::now()));
+                Ok::<_, Infallible>(answer)
+            }
+        });
+        let connection = hyper::server::conn::http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(HEAD_TIME)
+            .max_buf_size(HEAD_MOST)
+            .serve_connection(TokioIo::new(stream), service);
+        let connection = self.graceful.watch(connection);
+        let task = spawn_local(async move {
+            // A connection that breaks ends its request's waiting, which tells the module.
+            let _ = connection.await;
+        });
+        self.open.push(Client { task, idle });
     }
-    let driver = driver.clone();
-    let service = service_fn(move |request| answer(driver.clone(), request));
-    let connection = hyper::server::conn::http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(HEAD_TIME)
-        .max_buf_size(HEAD_MOST)
-        .serve_connection(TokioIo::new(stream), service);
-    let connection = graceful.watch(connection);
-    tokio::task::spawn_local(async move {
-        // A connection that breaks ends its request's waiting, which tells the module.
-        let _ = connection.await;
-        drop(place);
-    });
 }
 
 type Answer = Response<Full<Bytes>>;
 
-async fn answer(driver: Handle, request: Request<Incoming>) -> Result<Answer, Infallible> {
+async fn answer(driver: Handle, request: Request<Incoming>) -> Answer {
     let arrived = Instant::now();
-    Ok(match request.uri().path() {
+    match request.uri().path() {
         "/_health" if driver.is_ready() => plain(StatusCode::OK),
         "/_health" => plain(StatusCode::SERVICE_UNAVAILABLE),
         "/api" => match take_in(&driver, request, arrived).await {
@@ -120,7 +159,7 @@
             Err(status) => plain(status),
         },
         _ => plain(StatusCode::NOT_FOUND),
-    })
+    }
 }
 
 /// Reads a request whole. What cannot be used is turned away with a status; the module never sees it.
--- a/proxy/src/upstream.rs
+++ b/proxy/src/upstream.rs
@@ -156,15 +156,17 @@
     }
 }
 
-/// Reads a load report, `name=value,name=value`; what is not known or no number is passed over.
+/// Reads a load report, `name=value,name=value`; what is not known or no number is passed over. The names are
+/// those of the settings (`report.columns`), as on the simulator's wire: read under other names, every report
+/// would be lost without a sign.
 fn load(text: &str) -> Load {
     let mut load = Load::default();
     for (name, value) in text.split(',').filter_map(|pair| pair.split_once('=')) {
         let value = value.trim().parse().ok().filter(|v: &f64| v.is_finite());
         match name.trim() {
-            "inflight" => load.in_hand = value,
-            "queue" => load.waiting = value,
-            "util" => load.busy = value,
+            "active" => load.in_hand = value,
+            "waiting" => load.waiting = value,
+            "cpu" => load.busy = value,
             _ => {}
         }
     }
@@ -209,3 +211,20 @@
         Pin::new(&mut self.io).poll_shutdown(context)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_load_report_is_read_under_the_names_of_the_settings() {
+        let read = load("active=7.5,waiting=2,avg_ms=14.766,cpu=0.5");
+        assert_eq!(read, Load { in_hand: Some(7.5), waiting: Some(2.0), busy: Some(0.5) });
+    }
+
+    #[test]
+    fn what_is_no_number_in_a_load_report_is_passed_over() {
+        let read = load("active=NaN,waiting=many, cpu = 0.25 ,odd,=,active");
+        assert_eq!(read, Load { in_hand: None, waiting: None, busy: Some(0.25) });
+    }
+}
