Test the proxy over loopback sockets; watch from the known list's version

Found by them: the first watch asked without 'since', so discovery sent the whole list at every start. To blame: Handle::start in proxy/src/driver.rs, which fed Start (the module subscribes there) before it took the known list's version in. The version is now set before.

--- a/proxy/src/driver.rs
+++ b/proxy/src/driver.rs
@@ -196,7 +196,8 @@
             hosts: HashMap::new(),
             names: HashMap::new(),
             next_server: 0,
-            seq: None,
+            // Set before the start: the module subscribes at once, from the version of the list it gets next.
+            seq: config.known.as_ref().map(|known| known.seq),
             listed: false,
             watch: None,
             slots: Rc::default(),
--- /dev/null
+++ b/proxy/tests/discovery.rs
@@ -0,0 +1,106 @@
+//! The list of hosts as it comes over a watch.
+
+mod common;
+
+use common::*;
+use std::slice::from_ref;
+
+const NONE: fn(&mut serde_json::Value) = |config| config["known"]["hosts"] = serde_json::json!([]);
+
+#[test]
+fn a_proxy_without_a_list_is_not_ready_and_with_one_it_serves() {
+    run(async {
+        let host = Host::start([ok("served")]).await;
+        let discovery = Discovery::quiet().await;
+        let proxy = Proxy::with(&discovery, &[], NONE).await;
+        let mut client = proxy.client().await;
+        let health = "GET /_health HTTP/1.1\r\n\r\n";
+        assert_eq!(client.ask(health).await.status(), 503);
+        eventually("the watch is open", || discovery.asked.borrow().len() == 1).await;
+        // In two pieces and with an empty line before it, as a watch may bring it.
+        let line = list(42, true, &[entry("s-9", host.address, "Ready")]);
+        let (first, second) = line.split_at(20);
+        discovery.push(&chunk("")).await;
+        discovery.push(&format!("{:x}\r\n{first}\r\n", first.len())).await;
+        discovery.push(&chunk(second)).await;
+        while client.ask(health).await.status() != 200 {}
+        assert_eq!(client.ask(&request("unsafe", "", "")).await.status(), 200);
+    });
+}
+
+/// A watch that ends, is refused, or brings what cannot be read has failed; the next one begins where the
+/// list in hand ends.
+#[test]
+fn a_watch_that_fails_is_opened_again_from_the_version_in_hand() {
+    run(async {
+        let host = Host::start([ok("served")]).await;
+        let busy = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n".to_owned();
+        let news = format!("{WATCH}{}", chunk(&list(50, true, &[entry("s-9", host.address, "Ready")])));
+        let bad = format!("{WATCH}{}", chunk("{\"seq\":"));
+        let odd = format!("{WATCH}{}", chunk(&list(51, false, &[entry("s-9", host.address, "Dancing")])));
+        let ended = format!("{WATCH}0\r\n\r\n");
+        let discovery = Discovery::start([busy, format!("{news}0\r\n\r\n"), bad, odd, ended]).await;
+        let proxy = Proxy::with(&discovery, &[], NONE).await;
+        eventually("six watches", || discovery.asked.borrow().len() == 6).await;
+        let asked = discovery.asked.borrow().clone();
+        let versions: Vec<&str> = asked
+            .iter()
+            .filter_map(|line| line.strip_prefix("GET /catalog/members?follow=1&since="))
+            .filter_map(|rest| rest.strip_suffix(" HTTP/1.1"))
+            .collect();
+        assert_eq!(versions, ["41", "41", "50", "50", "50", "50"], "{asked:?}");
+        assert_eq!(proxy.client().await.ask(&request("unsafe", "", "")).await.status(), 200);
+    });
+}
+
+/// A watch whose machine has vanished says nothing for good: without heartbeats it has failed.
+#[test]
+fn a_silent_watch_is_given_up() {
+    run(async {
+        let discovery = Discovery::quiet().await;
+        let _proxy = Proxy::with(&discovery, &[], NONE).await;
+        eventually("a second watch", || discovery.asked.borrow().len() == 2).await;
+    });
+}
+
+/// A host that is gone gets nothing more, and idle connections to it are closed; one at its address under
+/// another name is another host.
+#[test]
+fn a_host_that_is_gone_is_left_alone() {
+    run(async {
+        let (old, new) = (Host::start([ok("old")]).await, Host::start([ok("new")]).await);
+        let discovery = Discovery::quiet().await;
+        let proxy = Proxy::with(&discovery, from_ref(&old), |_| ()).await;
+        let mut client = proxy.client().await;
+        assert_eq!(client.ask(&request("unsafe", "", "")).await.body, b"old");
+        let hosts = [entry("s-0", old.address, "Gone"), entry("s-1", new.address, "Ready")];
+        discovery.push(&chunk(&list(42, false, &hosts))).await;
+        eventually("its idle connection is closed", || old.open.get() == 0).await;
+        for _ in 0..5 {
+            assert_eq!(client.ask(&request("unsafe", "", "")).await.body, b"new");
+        }
+        discovery.push(&chunk(&list(43, true, &[entry("s-2", old.address, "Ready")]))).await;
+        eventually("a whole list replaces", || new.open.get() == 0).await;
+        assert_eq!(client.ask(&request("unsafe", "", "")).await.body, b"old");
+    });
+}
+
+/// Where lists are pushed the module never asks: the proxy watches its agent all the same.
+#[test]
+fn a_pushed_list_is_watched_too() {
+    run(async {
+        let host = Host::start([ok("served")]).await;
+        let list = list(42, true, &[entry("s-9", host.address, "Ready")]);
+        let discovery =
+            Discovery::start(["HTTP/1.1 503 No\r\n\r\n".to_owned(), format!("{WATCH}{}", chunk(&list))])
+                .await;
+        let proxy = Proxy::with(&discovery, &[], |config| {
+            NONE(config);
+            config["settings"]["discovery"] = "push".into();
+        })
+        .await;
+        let mut client = proxy.client().await;
+        while client.ask("GET /_health HTTP/1.1\r\n\r\n").await.status() != 200 {}
+        assert_eq!(client.ask(&request("unsafe", "", "")).await.status(), 200);
+    });
+}
--- /dev/null
+++ b/proxy/tests/hosts.rs
@@ -0,0 +1,147 @@
+//! Connections to hosts: kept, given up, withdrawn.
+
+mod common;
+
+use common::*;
+use std::slice::from_ref;
+use std::time::Duration;
+use tokio::net::{TcpSocket, TcpStream};
+
+/// A connection costs a host many times a request's overhead. It must be back before the outcome is told:
+/// else the request that the outcome lets go opens another.
+#[test]
+fn one_request_after_the_other_shares_one_connection() {
+    run(async {
+        let host = Host::start([ok("served"), turn_away(), ok("served")]).await;
+        let proxy = Proxy::start(from_ref(&host)).await;
+        let mut client = proxy.client().await;
+        for _ in 0..20 {
+            client.ask(&request("free", "", "body")).await;
+        }
+        assert_eq!(host.opened.get(), 1);
+    });
+}
+
+/// A connection that the host has closed while it was idle is no failure of the request: nothing is written.
+#[test]
+fn a_connection_closed_by_its_host_is_not_used_again() {
+    run(async {
+        let bye = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+        let host = Host::start([Act::SayAndClose(bye.to_owned())]).await;
+        let proxy = Proxy::start(from_ref(&host)).await;
+        let mut client = proxy.client().await;
+        for count in 1..=5 {
+            assert_eq!(client.ask(&request("unsafe", "", "")).await.status(), 200);
+            eventually("the host closes", || host.open.get() == 0).await;
+            assert_eq!(host.count(), count);
+        }
+    });
+}
+
+/// More than belongs to an answer makes its connection useless; a later request must not get it.
+#[test]
+fn what_follows_an_answer_is_nobodys() {
+    run(async {
+        let double = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirstHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong";
+        let host = Host::start([Act::Say(double.to_owned()), ok("right")]).await;
+        let proxy = Proxy::start(from_ref(&host)).await;
+        let mut client = proxy.client().await;
+        assert_eq!(client.ask(&request("unsafe", "", "")).await.body, b"first");
+        eventually("the connection is closed", || host.open.get() == 0).await;
+        assert_eq!(client.ask(&request("unsafe", "", "")).await.body, b"right");
+    });
+}
+
+/// Idle connections are closed before the host does it: a request that crosses the host's close is lost.
+#[test]
+fn an_idle_connection_is_retired_before_its_host_closes_it() {
+    run(async {
+        let host = Host::start([ok("served")]).await;
+        let proxy = Proxy::with(&Discovery::quiet().await, from_ref(&host), |config| {
+            config["settings"]["limits"]["conn_idle_us"] = 2_000_000.into();
+        })
+        .await;
+        assert_eq!(proxy.client().await.ask(&request("free", "", "")).await.status(), 200);
+        eventually("it is retired", || host.open.get() == 0).await;
+    });
+}
+
+/// An address where connections never come up: its queue of new ones is full.
+async fn never_up() -> (Host, Vec<TcpStream>, tokio::net::TcpListener) {
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.bind("127.0.0.1:0".parse().expect("an address")).expect("a port");
+    let listener = socket.listen(0).expect("it listens");
+    let address = listener.local_addr().expect("an address");
+    let mut full = Vec::new();
+    while let Ok(Ok(stream)) =
+        tokio::time::timeout(Duration::from_millis(200), TcpStream::connect(address)).await
+    {
+        full.push(stream);
+    }
+    let host = Host::start([ok("")]).await;
+    (Host { address, ..host }, full, listener)
+}
+
+/// A send counts when it is written. One that still waits for its connection when its host is told draining
+/// must not be written there later; it goes elsewhere at once.
+#[test]
+fn what_is_not_yet_written_to_a_draining_host_is_withdrawn() {
+    run(async {
+        let (stuck, _full, listener) = never_up().await;
+        let other = Host::start([ok("served")]).await;
+        let discovery = Discovery::quiet().await;
+        let proxy = Proxy::with(&discovery, from_ref(&stuck), |config| {
+            config["settings"]["limits"]["connect_timeout_us"] = 20_000_000.into();
+        })
+        .await;
+        let mut client = proxy.client().await;
+        client.send(&request("unsafe", "", "")).await;
+        eventually("the watch is open", || discovery.asked.borrow().len() == 1).await;
+        // Sent later and answered: the proxy has read the request before.
+        assert_eq!(proxy.client().await.ask("GET /_health HTTP/1.1\r\n\r\n").await.status(), 200);
+        let hosts = [entry("s-0", stuck.address, "Terminating"), entry("s-1", other.address, "Ready")];
+        discovery.push(&chunk(&list(42, false, &hosts))).await;
+        assert_eq!(client.message().await.expect("an answer").status(), 200);
+        assert_eq!(other.count(), 1);
+        drop(listener);
+    });
+}
+
+/// A connection that does not come up in time proves that the request never ran: it may go elsewhere.
+#[test]
+fn a_connection_that_never_comes_up_is_bounded() {
+    run(async {
+        let (stuck, _full, _listener) = never_up().await;
+        let other = Host::start([ok("served")]).await;
+        let proxy = Proxy::with(&Discovery::quiet().await, &[stuck, other.clone()], |config| {
+            config["settings"]["limits"]["connect_timeout_us"] = 50_000.into();
+        })
+        .await;
+        let mut client = proxy.client().await;
+        for _ in 0..6 {
+            assert_eq!(client.ask(&request("unsafe", "", "")).await.status(), 200);
+        }
+        assert_eq!(other.count(), 6);
+    });
+}
+
+/// The limit on sockets holds for hosts too: a call beyond it ends, and no descriptor is opened for it.
+#[test]
+fn connections_to_hosts_stay_under_the_limit() {
+    run(async {
+        let mut hosts = Vec::new();
+        for _ in 0..24 {
+            hosts.push(Host::start([ok("served")]).await);
+        }
+        let proxy = Proxy::with(&Discovery::quiet().await, &hosts, |config| {
+            config["limits"]["sockets"] = 64.into();
+        })
+        .await;
+        let mut client = proxy.client().await;
+        for _ in 0..200 {
+            assert_eq!(client.ask(&request("free", "", "")).await.status(), 200);
+            let open: usize = hosts.iter().map(|host| host.open.get()).sum();
+            assert!(open <= 17, "{open}: 16, and one whose close has not arrived");
+        }
+    });
+}
--- /dev/null
+++ b/proxy/tests/process.rs
@@ -0,0 +1,107 @@
+//! The program's start and stop.
+
+mod common;
+
+use common::*;
+use std::process::{Command, Stdio};
+use std::slice::from_ref;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::time::sleep;
+
+/// A stop must answer all that was taken, take new connections for as long as they come, and close the rest.
+#[test]
+fn a_stop_answers_what_was_taken() {
+    run(async {
+        let host = Host::start([ok("before"), Act::Stall, ok("after")]).await;
+        let mut proxy = Proxy::start(from_ref(&host)).await;
+        let (mut idle, mut busy) = (proxy.client().await, proxy.client().await);
+        let mut half = proxy.client().await;
+        assert_eq!(idle.ask(&request("unsafe", "", "")).await.body, b"before");
+        busy.send(&request("unsafe", "", "").replace("8000", "1500")).await;
+        half.send("POST /api HTTP/1.1\r\nX-Call").await;
+        eventually("the host has it", || host.count() == 2).await;
+        drop(proxy.stop.take());
+        let mut late = proxy.client().await;
+        assert_eq!(late.ask(&request("unsafe", "", "")).await.body, b"after");
+        assert_eq!(busy.message().await.expect("an answer").status(), 502);
+        (&mut proxy.task).await.expect("it ends without a panic");
+        assert!(idle.message().await.is_none(), "closed between requests");
+        assert!(TcpStream::connect(proxy.address).await.is_err(), "it no longer listens");
+    });
+}
+
+/// A proxy that was killed leaves connections at its address; the next one must start there at once.
+#[test]
+fn the_address_can_be_used_again_at_once() {
+    run(async {
+        let first =
+            nettleworks::server::listen("127.0.0.1:0".parse().expect("an address")).expect("it listens");
+        let address = first.local_addr().expect("an address");
+        let client = TcpStream::connect(address).await.expect("connected");
+        drop(first.accept().await.expect("accepted"));
+        drop(first);
+        nettleworks::server::listen(address).expect("it listens again");
+        drop(client);
+    });
+}
+
+fn program(config: &str, name: &str) -> (Command, std::path::PathBuf) {
+    let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    std::fs::write(&path, config).expect("written");
+    let mut command = Command::new(env!("CARGO_BIN_EXE_nettleworks"));
+    command.env("ROUTER_CONFIG", &path).stdout(Stdio::null()).stderr(Stdio::piped());
+    (command, path)
+}
+
+#[test]
+fn the_program_serves_and_ends_well_on_sigterm() {
+    run(async {
+        let host = Host::start([ok("served")]).await;
+        let discovery = Discovery::quiet().await;
+        // A port that was free a moment ago; the program is not told which it got otherwise.
+        let free = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = free.local_addr().expect("an address");
+        drop(free);
+        let config = configuration(discovery.address, &[host], |config| {
+            config["listen"] = address.to_string().into();
+        });
+        let mut child = program(&config, "good.json").0.spawn().expect("it starts");
+        let mut client = loop {
+            match TcpStream::connect(address).await {
+                Ok(stream) => break Reader::new(stream),
+                Err(_) => sleep(Duration::from_millis(5)).await,
+            }
+        };
+        assert_eq!(client.ask(&request("unsafe", "", "")).await.body, b"served");
+        let killed = Command::new("kill").arg(child.id().to_string()).status().expect("kill runs");
+        assert!(killed.success());
+        let code = loop {
+            match child.try_wait().expect("it can be waited for") {
+                Some(status) => break status.code(),
+                None => sleep(Duration::from_millis(5)).await,
+            }
+        };
+        assert_eq!(code, Some(0));
+        assert!(client.message().await.is_none(), "closed between requests");
+    });
+}
+
+#[test]
+fn a_broken_configuration_ends_it_with_one_line() {
+    let good = run(async { configuration(Discovery::quiet().await.address, &[], |_| ()) });
+    let cases = [
+        ("{", "EOF"),
+        (&good.replace("127.0.0.1:0", "nowhere"), "address"),
+        (&good.replace("8c1f", "seed"), "seed"),
+        (&good.replace("1024", "12"), "sockets"),
+        (&good.replace("\"cold_us\"", "\"cold_hs\""), "cold_us"),
+    ];
+    for (number, (config, reason)) in cases.iter().enumerate() {
+        let output = program(config, &format!("broken-{number}.json")).0.output().expect("it runs");
+        let text = String::from_utf8_lossy(&output.stderr).into_owned();
+        assert!(!output.status.success(), "{config}");
+        assert_eq!(text.lines().count(), 1, "{text}");
+        assert!(text.contains(reason) && !text.contains("panicked"), "{text}");
+    }
+}
