Say when to come back in every refusal; bound a body's time by its class

Seen: refusals carried 'Retry-After: 0.000' on this site, an invitation to come back at once. To blame: settings clipped the advice to 0 where the site says that clients do not heed it (settings/src/lib.rs), and two of the module's four ways to give a call up passed 0 (again and wake_calls in balance.rs). Now a call that waited in vain gives its wait, one that was turned away the first backoff, up to the site's longest advice.

Kept, because a refusal is to tell the client when to come back.

Also: a body that never ends kept its place for as long as the client's budget said, up to 49 days, and could not be closed to make room (server::take_in). A class's deadline bounds it now. The log names each server's host. The test of a client that leaves passed without the Gone event, since the attempt's time-out closed the connection too; its time is longer now and it fails without.

--- a/proxy/src/driver.rs
+++ b/proxy/src/driver.rs
@@ -505,6 +505,8 @@
     fn intern(&mut self, entry: &discovery::Host) -> ServerId {
         let server = *self.names.entry(entry.host.clone()).or_insert_with(|| {
             self.next_server += 1;
+            // The module's lines name servers by number alone.
+            crate::log(&format!("server {} is {} at {}", self.next_server, entry.host, entry.dial));
             ServerId(self.next_server)
         });
         let host = self.hosts.entry(server).or_insert_with(|| Host {
--- a/proxy/src/server.rs
+++ b/proxy/src/server.rs
@@ -190,15 +190,18 @@
     let config = driver.config();
     single(headers, "x-call-id").filter(|id| !id.is_empty())?;
     let class = place(&config.classes, single(headers, "x-call-class")?)?;
+    let spec = config.settings.classes.get(class)?;
     // Without its key a keyed request would run again wherever it is sent again.
-    if matches!(config.settings.classes.get(class)?.repeat, Repeat::Guarded { .. }) {
+    if matches!(spec.repeat, Repeat::Guarded { .. }) {
         single(headers, "idempotency-key").filter(|key| !key.is_empty())?;
     }
     let budget = single(headers, "x-budget-ms")?.parse::<u32>().ok().filter(|ms| *ms > 0)?;
+    // No client waits longer than its class: more would let a body that never ends keep its place for weeks.
+    let budget = Duration::from_millis(budget.into()).min(Duration::from_micros(spec.deadline));
     let tenant = single(headers, "x-caller").and_then(|name| place(&config.tenants, name)).map(TenantId);
     let resent = single(headers, "x-again").is_some_and(|value| value == "1");
     let ask = Ask { class: ClassId(class), tenant, deadline: Instant::now(), resent };
-    Some((ask, Duration::from_millis(budget.into())))
+    Some((ask, budget))
 }
 
 fn place(names: &[String], name: &str) -> Option<usize> {
--- a/proxy/tests/process.rs
+++ b/proxy/tests/process.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use common::*;
+use std::io::Read;
 use std::process::{Command, Stdio};
 use std::slice::from_ref;
 use std::time::Duration;
@@ -57,13 +58,13 @@
 #[test]
 fn the_program_serves_and_ends_well_on_sigterm() {
     run(async {
-        let host = Host::start([ok("served")]).await;
+        let host = Host::start([ok("served"), Act::Stall]).await;
         let discovery = Discovery::quiet().await;
         // A port that was free a moment ago; the program is not told which it got otherwise.
         let free = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
         let address = free.local_addr().expect("an address");
         drop(free);
-        let config = configuration(discovery.address, &[host], |config| {
+        let config = configuration(discovery.address, from_ref(&host), |config| {
             config["listen"] = address.to_string().into();
         });
         let mut child = program(&config, "good.json").0.spawn().expect("it starts");
@@ -74,6 +75,10 @@
             }
         };
         assert_eq!(client.ask(&request("unsafe", "", "")).await.body, b"served");
+        // Its time is longer than a stop may take: it is dropped, in order.
+        let mut stuck = Reader::new(TcpStream::connect(address).await.expect("the program accepts"));
+        stuck.send(&request("unsafe", "", "")).await;
+        eventually("the host has it", || host.count() == 2).await;
         let killed = Command::new("kill").arg(child.id().to_string()).status().expect("kill runs");
         assert!(killed.success());
         let code = loop {
@@ -83,6 +88,9 @@
             }
         };
         assert_eq!(code, Some(0));
+        let mut log = String::new();
+        child.stderr.take().expect("piped").read_to_string(&mut log).expect("text");
+        assert!(!log.contains("panicked"), "{log}");
         assert!(client.message().await.is_none(), "closed between requests");
     });
 }
--- a/proxy/tests/requests.rs
+++ b/proxy/tests/requests.rs
@@ -116,7 +116,7 @@
         assert_eq!(answer.status(), 503);
         assert!(started.elapsed().as_millis() < 7_000, "not sat on until its deadline");
         let advice = answer.header("retry-after").and_then(|v| v.parse::<f64>().ok());
-        assert!(advice.is_some_and(|seconds| seconds >= 0.0), "{answer:?}");
+        assert!(advice.is_some_and(|seconds| seconds > 0.0 && seconds <= 0.75), "{answer:?}");
     });
 }
 
@@ -125,9 +125,14 @@
 fn a_client_that_closes_ends_its_attempt() {
     run(async {
         let host = Host::start([Act::Stall]).await;
-        let proxy = Proxy::start(from_ref(&host)).await;
+        let proxy = Proxy::with(&Discovery::quiet().await, from_ref(&host), |config| {
+            // Else the attempt would time out while the test waits.
+            config["settings"]["classes"][2]["objective_us"] = 60_000_000.into();
+            config["settings"]["classes"][2]["deadline_us"] = 60_000_000.into();
+        })
+        .await;
         let mut client = proxy.client().await;
-        client.send(&request("unsafe", "", "")).await;
+        client.send(&request("unsafe", "", "").replace("8000", "60000")).await;
         eventually("the host has it", || host.count() == 1).await;
         drop(client);
         eventually("the attempt's connection closes", || host.open.get() == 0).await;
@@ -148,6 +153,24 @@
     });
 }
 
+/// A body that does not come must not keep its place for as long as a client cares to say.
+#[test]
+fn a_body_that_does_not_come_is_given_up() {
+    run(async {
+        let host = Host::start([ok("")]).await;
+        let proxy = Proxy::with(&Discovery::quiet().await, from_ref(&host), |config| {
+            config["settings"]["classes"][0]["deadline_us"] = 300_000.into();
+        })
+        .await;
+        let mut client = proxy.client().await;
+        client
+            .send(&request("free", "", "the body").replace("8000", "4000000000").replace("the body", "half"))
+            .await;
+        assert_eq!(client.message().await.expect("an answer").status(), 408);
+        assert_eq!(host.count(), 0);
+    });
+}
+
 /// Clients that connect and say nothing must not keep others out, nor cost more descriptors than there are.
 #[test]
 fn silent_connections_do_not_keep_others_out() {
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -55,14 +55,13 @@
     probes: bool,
     second_copies: bool,
     max_attempts: u32,
-    retry_after: bool,
     max_retry_after_us: u64,
 }
 
 impl Default for LimitFacts {
     fn default() -> Self {
-        let (cancel, probes, second_copies, retry_after) = (false, false, false, false);
-        LimitFacts { cancel, probes, second_copies, max_attempts: 1, retry_after, max_retry_after_us: 0 }
+        let (cancel, probes, second_copies) = (false, false, false);
+        LimitFacts { cancel, probes, second_copies, max_attempts: 1, max_retry_after_us: 0 }
     }
 }
 
@@ -125,7 +124,8 @@
             probes: limits.probes,
             second_copies: limits.second_copies,
             max_attempts: limits.max_attempts,
-            max_retry_after: if limits.retry_after { limits.max_retry_after_us } else { 0 },
+            // Also where clients are said not to heed it: a refusal on sockets always says when to come back.
+            max_retry_after: limits.max_retry_after_us,
         },
         rules: Rules { cold_share: rules.cold_from, cold_time: rules.cold_us, ask_every: rules.ask_every_us },
         goal: Goal { whole: facts.result_mix.whole, worst_class: facts.result_mix.worst_class },
--- a/src/api.rs
+++ b/src/api.rs
@@ -94,7 +94,7 @@
     pub second_copies: bool,
     /// Most attempts for a call.
     pub max_attempts: u32,
-    /// Longest advice that a client heeds; 0 where clients are given none.
+    /// Longest advice that a client heeds; 0: it is given none.
     pub max_retry_after: Micros,
 }
 
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -661,7 +661,7 @@
             self.retries = (self.retries - 1.0).max(0.0);
             self.enqueue(now, id, true);
         } else {
-            self.give_up(id, 0, actions);
+            self.give_up(id, self.first_backoff(), actions);
         }
     }
 
@@ -849,7 +849,7 @@
         while let Some(&(_, id)) = self.wakes.first().filter(|wake| wake.0 <= now) {
             self.set_wake(id, 0);
             if self.calls[&id].held {
-                self.give_up(id, 0, actions);
+                self.give_up(id, now.saturating_sub(self.calls[&id].arrived), actions);
             } else {
                 self.second_copy(now, id, actions);
             }
