Send nothing unwritten once a call is over or its host has moved

Driver::tidy now withdraws it, whatever ends the call. The host of the test got 'the first' though its client had left. - A connection to a host's old address went back among the idle ones after the host had moved (Handle::finish kept it for the number alone), and an attempt to the old address was still written. Both now ask Host::takes.

Also: hosts that leave the list were found by comparing all names, n squared; their health says it now. Outcomes are counted in one place.

--- a/proxy/src/driver.rs
+++ b/proxy/src/driver.rs
@@ -113,9 +113,29 @@
     attempts: Vec<Option<Attempt>>,
 }
 
+impl Call {
+    /// Ends the attempts that are unwanted and of which nothing is written yet. Unlike one that is called off,
+    /// such an attempt surely never ran.
+    fn withdraw(&mut self, id: CallId, events: &mut VecDeque<Event>, unwanted: impl Fn(&Attempt) -> bool) {
+        let closed = self.reply.is_none();
+        for (attempt, out) in (0..).zip(&mut self.attempts) {
+            if let Some(out) = out.take_if(|out| out.meter.get() == 0 && unwanted(out)) {
+                events.push_back(ended(id, attempt, Outcome::NotSent, out.sent.elapsed(), closed));
+            }
+        }
+    }
+}
+
+/// The outcome of an attempt that the proxy itself has ended.
+fn ended(call: CallId, attempt: u32, outcome: Outcome, elapsed: Duration, closed: bool) -> Event {
+    let (elapsed, load) = (elapsed.as_micros() as Micros, Load::default());
+    Event::Outcome { call, attempt, outcome, elapsed, closed, load }
+}
+
 /// An attempt that is out.
 struct Attempt {
     server: ServerId,
+    address: SocketAddr,
     sent: Instant,
     meter: Meter,
     /// Ends the exchange and closes its connection when dropped.
@@ -126,7 +146,7 @@
 struct Host {
     dial: SocketAddr,
     born_ms: u64,
-    ready: bool,
+    health: Health,
     idle: Vec<(Instant, Connection)>,
 }
 
@@ -141,6 +161,13 @@
     outcomes: BTreeMap<Outcome, u64>,
 }
 
+impl Host {
+    /// Whether something new may be written to it at this address.
+    fn takes(&self, address: SocketAddr) -> bool {
+        self.health == Health::Ready && self.dial == address
+    }
+}
+
 struct Driver {
     clock: Clock,
     config: Rc<Config>,
@@ -263,11 +290,11 @@
 
     fn gone(&self, id: CallId) {
         let mut driver = self.0.borrow_mut();
-        let over = driver.calls.get_mut(&id).is_none_or(|call| call.reply.take().is_none());
-        driver.tidy(id);
-        drop(driver);
-        if !over {
-            self.run([Event::Gone { call: id }]);
+        if driver.calls.get_mut(&id).and_then(|call| call.reply.take()).is_some() {
+            driver.events.push_back(Event::Gone { call: id });
+            driver.tidy(id);
+            drop(driver);
+            self.run([]);
         }
     }
 
@@ -282,7 +309,7 @@
             false => ListKind::Delta,
         };
         if kind != ListKind::Delta {
-            driver.hosts.values_mut().for_each(|host| host.ready = false);
+            driver.hosts.values_mut().for_each(|host| host.health = Health::Gone);
         }
         let mut entries = Vec::with_capacity(list.hosts.len());
         for entry in &list.hosts {
@@ -299,20 +326,9 @@
         // The module hears of the list before it hears of what the list undoes.
         driver.events.push_back(Event::Members { kind, entries });
         driver.withdraw();
-        let listed: Vec<&str> = match kind {
-            ListKind::Delta => Vec::new(),
-            _ => list.hosts.iter().map(|h| h.host.as_str()).collect(),
-        };
-        let gone = list.hosts.iter().filter(|h| h.health == Health::Gone).map(|h| h.host.clone());
-        let mut gone: Vec<String> = gone.collect();
-        if kind != ListKind::Delta {
-            gone.extend(driver.names.keys().filter(|name| !listed.contains(&name.as_str())).cloned());
-        }
-        for name in gone {
-            if let Some(server) = driver.names.remove(&name) {
-                driver.hosts.remove(&server);
-            }
-        }
+        driver.hosts.retain(|_, host| host.health != Health::Gone);
+        let Driver { names, hosts, .. } = &mut *driver;
+        names.retain(|_, server| hosts.contains_key(server));
         drop(driver);
         self.run([]);
     }
@@ -369,16 +385,17 @@
             // A client that has just gone has no use for it.
             let _ = reply.0.send(Reply::Served(reply.1));
         }
-        let closed = call.reply.is_none();
-        let host = driver.hosts.get_mut(&out.server).filter(|host| host.ready);
+        let (elapsed, closed) = (out.sent.elapsed().as_micros() as Micros, call.reply.is_none());
+        let (outcome, load) = (end.outcome, end.load);
+        driver.events.push_back(Event::Outcome { call: id, attempt, outcome, elapsed, closed, load });
+        driver.tidy(id);
+        // Back before the outcome is told: else the call that it lets go would open another.
+        let host = driver.hosts.get_mut(&out.server).filter(|host| host.takes(out.address));
         if let (Some(host), Some(connection)) = (host, end.connection) {
             host.idle.push((Instant::now(), connection));
         }
-        *driver.counts.outcomes.entry(end.outcome).or_default() += 1;
-        driver.tidy(id);
         drop(driver);
-        let (outcome, load, elapsed) = (end.outcome, end.load, out.sent.elapsed().as_micros() as Micros);
-        self.run([Event::Outcome { call: id, attempt, outcome, elapsed, closed, load }]);
+        self.run([]);
         // Dropped last: this may be the very task of the attempt.
         drop(out);
     }
@@ -389,6 +406,9 @@
         driver.events.extend(events);
         let mut actions = Vec::new();
         while let Some(event) = driver.events.pop_front() {
+            if let Event::Outcome { outcome, .. } = event {
+                *driver.counts.outcomes.entry(outcome).or_default() += 1;
+            }
             let now = driver.clock.at(Instant::now());
             driver.balancer.handle(now, event, &mut actions);
             for action in actions.drain(..) {
@@ -428,11 +448,11 @@
         let Some(call) = self.calls.get_mut(&id) else { return };
         let attempt = call.attempts.len() as u32;
         let until = until.map_or(call.deadline, |at| self.clock.instant(at).min(call.deadline));
-        let host = self.hosts.get_mut(&server).filter(|host| host.ready);
+        let host = self.hosts.get_mut(&server).filter(|host| host.health == Health::Ready);
         let Some(host) = host.filter(|_| call.reply.is_some() && now < until) else {
             call.attempts.push(None);
             let closed = call.reply.is_none();
-            return self.ended(id, attempt, Outcome::NotSent, Duration::ZERO, closed);
+            return self.events.push_back(ended(id, attempt, Outcome::NotSent, Duration::ZERO, closed));
         };
         let (meter, forward, address) = (Meter::default(), call.forward.clone(), host.dial);
         let kept = loop {
@@ -451,7 +471,7 @@
         };
         self.counts.attempts += 1;
         if let Some(call) = self.calls.get_mut(&id) {
-            call.attempts.push(Some(Attempt { server, sent: now, meter, _task: task }));
+            call.attempts.push(Some(Attempt { server, address, sent: now, meter, _task: task }));
         }
     }
 
@@ -460,15 +480,8 @@
         let Some(call) = self.calls.get_mut(&id) else { return };
         let Some(out) = call.attempts.get_mut(attempt as usize).and_then(Option::take) else { return };
         let closed = call.reply.is_none();
-        self.ended(id, attempt, Outcome::CalledOff, out.sent.elapsed(), closed);
-    }
-
-    /// Queues the outcome of an attempt that the proxy itself has ended.
-    fn ended(&mut self, call: CallId, attempt: u32, outcome: Outcome, elapsed: Duration, closed: bool) {
-        *self.counts.outcomes.entry(outcome).or_default() += 1;
-        let (elapsed, load) = (elapsed.as_micros() as Micros, Load::default());
-        self.events.push_back(Event::Outcome { call, attempt, outcome, elapsed, closed, load });
-        self.tidy(call);
+        self.events.push_back(ended(id, attempt, Outcome::CalledOff, out.sent.elapsed(), closed));
+        self.tidy(id);
     }
 
     fn answer(&mut self, id: CallId, reply: Reply) {
@@ -479,9 +492,12 @@
         self.tidy(id);
     }
 
-    /// Forgets a call once it is over and none of its attempts is out.
+    /// What is left of a call that is over: nothing more is sent for it, and it is forgotten once none of its
+    /// attempts is out.
     fn tidy(&mut self, id: CallId) {
-        if self.calls.get(&id).is_some_and(|c| c.reply.is_none() && c.attempts.iter().all(Option::is_none)) {
+        let Some(call) = self.calls.get_mut(&id).filter(|call| call.reply.is_none()) else { return };
+        call.withdraw(id, &mut self.events, |_| true);
+        if call.attempts.iter().all(Option::is_none) {
             self.calls.remove(&id);
         }
     }
@@ -512,35 +528,24 @@
         let host = self.hosts.entry(server).or_insert_with(|| Host {
             dial: entry.dial,
             born_ms: entry.born_ms,
-            ready: false,
+            health: entry.health,
             idle: Vec::new(),
         });
         if (host.dial, host.born_ms) != (entry.dial, entry.born_ms) {
             (host.dial, host.born_ms) = (entry.dial, entry.born_ms);
             host.idle.clear();
         }
-        host.ready = entry.health == Health::Ready;
+        host.health = entry.health;
         server
     }
 
-    /// Takes back what is not yet written to hosts that are not ready, and closes what is idle there: a send
-    /// counts when it is written, not when it was decided.
+    /// Takes back what is not yet written to hosts that are not ready, or no longer there, and closes what is
+    /// idle: a send counts when it is written, not when it was decided.
     fn withdraw(&mut self) {
-        self.hosts.values_mut().filter(|host| !host.ready).for_each(|host| host.idle.clear());
-        let hosts = &self.hosts;
-        let unsent = |out: &mut Attempt| {
-            out.meter.get() == 0 && !hosts.get(&out.server).is_some_and(|host| host.ready)
-        };
-        let mut withdrawn = Vec::new();
-        for (&id, call) in &mut self.calls {
-            let closed = call.reply.is_none();
-            for (attempt, out) in (0..).zip(&mut call.attempts) {
-                let taken = out.take_if(unsent);
-                withdrawn.extend(taken.map(|out| (id, attempt, out.sent.elapsed(), closed)));
-            }
-        }
-        for (id, attempt, elapsed, closed) in withdrawn {
-            self.ended(id, attempt, Outcome::NotSent, elapsed, closed);
+        let Driver { calls, hosts, events, .. } = self;
+        hosts.values_mut().filter(|host| host.health != Health::Ready).for_each(|host| host.idle.clear());
+        for (&id, call) in calls {
+            call.withdraw(id, events, |out| !hosts.get(&out.server).is_some_and(|h| h.takes(out.address)));
         }
     }
 
--- a/proxy/tests/common/mod.rs
+++ b/proxy/tests/common/mod.rs
@@ -13,7 +13,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, Notify};
 use tokio::task::{spawn_local, JoinHandle, LocalSet};
 use tokio::time::{sleep, timeout};
 
@@ -103,7 +103,7 @@
     Say(String),
     /// Writes this, and closes.
     SayAndClose(String),
-    /// Says nothing until the other side closes.
+    /// Says nothing until the other side closes or the host is told to release it.
     Stall,
 }
 
@@ -123,14 +123,20 @@
     pub opened: Rc<Cell<usize>>,
     pub open: Rc<Cell<usize>>,
     pub acts: Rc<RefCell<VecDeque<Act>>>,
+    /// Lets one stalled request be answered.
+    pub release: Rc<Notify>,
 }
 
 impl Host {
     pub async fn start(acts: impl IntoIterator<Item = Act>) -> Host {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        Host::on(TcpListener::bind("127.0.0.1:0").await.expect("a port"), acts)
+    }
+
+    pub fn on(listener: TcpListener, acts: impl IntoIterator<Item = Act>) -> Host {
         let address = listener.local_addr().expect("an address");
         let acts = Rc::new(RefCell::new(acts.into_iter().collect()));
-        let host = Host { address, seen: Rc::default(), opened: Rc::default(), open: Rc::default(), acts };
+        let (seen, opened, open, release) = Default::default();
+        let host = Host { address, seen, opened, open, acts, release };
         let accepting = host.clone();
         spawn_local(async move {
             while let Ok((stream, _)) = listener.accept().await {
@@ -165,10 +171,13 @@
                     write.write_all(text.as_bytes()).await.expect("written");
                     return;
                 }
-                Act::Stall => {
-                    reader.more().await;
-                    return;
-                }
+                Act::Stall => tokio::select! {
+                    _ = reader.more() => return,
+                    () = self.release.notified() => {
+                        let Act::Say(text) = ok("released") else { return };
+                        write.write_all(text.as_bytes()).await.expect("written");
+                    }
+                },
             }
         }
     }
@@ -297,6 +306,8 @@
 
 pub type Client = Reader<TcpStream>;
 
+pub const HEALTH: &str = "GET /_health HTTP/1.1\r\n\r\n";
+
 /// A request of a class, with further header lines and a body.
 pub fn request(class: &str, more: &str, body: &str) -> String {
     let length = body.len();
--- a/proxy/tests/discovery.rs
+++ b/proxy/tests/discovery.rs
@@ -14,8 +14,7 @@
         let discovery = Discovery::quiet().await;
         let proxy = Proxy::with(&discovery, &[], NONE).await;
         let mut client = proxy.client().await;
-        let health = "GET /_health HTTP/1.1\r\n\r\n";
-        assert_eq!(client.ask(health).await.status(), 503);
+        assert_eq!(client.ask(HEALTH).await.status(), 503);
         eventually("the watch is open", || discovery.asked.borrow().len() == 1).await;
         // In two pieces and with an empty line before it, as a watch may bring it.
         let line = list(42, true, &[entry("s-9", host.address, "Ready")]);
@@ -23,7 +22,7 @@
         discovery.push(&chunk("")).await;
         discovery.push(&format!("{:x}\r\n{first}\r\n", first.len())).await;
         discovery.push(&chunk(second)).await;
-        while client.ask(health).await.status() != 200 {}
+        while client.ask(HEALTH).await.status() != 200 {}
         assert_eq!(client.ask(&request("unsafe", "", "")).await.status(), 200);
     });
 }
@@ -100,7 +99,7 @@
         })
         .await;
         let mut client = proxy.client().await;
-        while client.ask("GET /_health HTTP/1.1\r\n\r\n").await.status() != 200 {}
+        while client.ask(HEALTH).await.status() != 200 {}
         assert_eq!(client.ask(&request("unsafe", "", "")).await.status(), 200);
     });
 }
--- a/proxy/tests/hosts.rs
+++ b/proxy/tests/hosts.rs
@@ -5,7 +5,8 @@
 use common::*;
 use std::slice::from_ref;
 use std::time::Duration;
-use tokio::net::{TcpSocket, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::time::timeout;
 
 /// A connection costs a host many times a request's overhead. It must be back before the outcome is told:
 /// else the request that the outcome lets go opens another.
@@ -66,20 +67,17 @@
     });
 }
 
-/// An address where connections never come up: its queue of new ones is full.
-async fn never_up() -> (Host, Vec<TcpStream>, tokio::net::TcpListener) {
+/// An address where connections do not come up: the listener's queue of new ones is full.
+async fn never_up() -> (Host, Vec<TcpStream>, TcpListener) {
     let socket = TcpSocket::new_v4().expect("a socket");
     socket.bind("127.0.0.1:0".parse().expect("an address")).expect("a port");
     let listener = socket.listen(0).expect("it listens");
     let address = listener.local_addr().expect("an address");
-    let mut full = Vec::new();
-    while let Ok(Ok(stream)) =
-        tokio::time::timeout(Duration::from_millis(200), TcpStream::connect(address)).await
-    {
+    let (mut full, wait) = (Vec::new(), Duration::from_millis(200));
+    while let Ok(Ok(stream)) = timeout(wait, TcpStream::connect(address)).await {
         full.push(stream);
     }
-    let host = Host::start([ok("")]).await;
-    (Host { address, ..host }, full, listener)
+    (Host { address, ..Host::start([ok("")]).await }, full, listener)
 }
 
 /// A send counts when it is written. One that still waits for its connection when its host is told draining
@@ -98,7 +96,7 @@
         client.send(&request("unsafe", "", "")).await;
         eventually("the watch is open", || discovery.asked.borrow().len() == 1).await;
         // Sent later and answered: the proxy has read the request before.
-        assert_eq!(proxy.client().await.ask("GET /_health HTTP/1.1\r\n\r\n").await.status(), 200);
+        assert_eq!(proxy.client().await.ask(HEALTH).await.status(), 200);
         let hosts = [entry("s-0", stuck.address, "Terminating"), entry("s-1", other.address, "Ready")];
         discovery.push(&chunk(&list(42, false, &hosts))).await;
         assert_eq!(client.message().await.expect("an answer").status(), 200);
@@ -107,6 +105,54 @@
     });
 }
 
+/// Nothing is sent for a call that is over, also where the site does not let attempts be called off: one that
+/// still waits for its connection must not be written once that comes up.
+#[test]
+fn what_is_not_yet_written_is_withdrawn_when_its_call_ends() {
+    run(async {
+        let (stuck, full, listener) = never_up().await;
+        let proxy = Proxy::with(&Discovery::quiet().await, from_ref(&stuck), |config| {
+            config["settings"]["limits"]["connect_timeout_us"] = 20_000_000.into();
+            config["settings"]["limits"]["cancel"] = false.into();
+        })
+        .await;
+        let mut client = proxy.client().await;
+        client.send(&request("unsafe", "", "the first")).await;
+        assert_eq!(proxy.client().await.ask(HEALTH).await.status(), 200);
+        drop(client);
+        let mut client = proxy.client().await;
+        client.send(&request("unsafe", "", "the second")).await;
+        assert_eq!(proxy.client().await.ask(HEALTH).await.status(), 200);
+        // From here on connections come up, the first one's before the second's.
+        let host = Host::on(listener, [ok("served")]);
+        drop(full);
+        assert_eq!(client.message().await.expect("an answer").status(), 200);
+        let bodies: Vec<_> = host.seen.borrow().iter().map(|message| message.body.clone()).collect();
+        assert_eq!(bodies, [b"the second"]);
+    });
+}
+
+/// A host that has moved gets nothing at its old address, where another may listen by now.
+#[test]
+fn a_host_that_has_moved_is_met_at_its_new_address() {
+    run(async {
+        let (old, new) = (Host::start([Act::Stall, ok("old")]).await, Host::start([ok("new")]).await);
+        let discovery = Discovery::quiet().await;
+        let proxy = Proxy::with(&discovery, from_ref(&old), |_| ()).await;
+        let (mut client, mut busy) = (proxy.client().await, proxy.client().await);
+        busy.send(&request("unsafe", "", "")).await;
+        eventually("the host has it", || old.count() == 1).await;
+        assert_eq!(client.ask(&request("unsafe", "", "")).await.body, b"old");
+        discovery.push(&chunk(&list(42, false, &[entry("s-0", new.address, "Ready")]))).await;
+        eventually("its idle connection closes", || old.open.get() == 1).await;
+        assert_eq!(client.ask(&request("unsafe", "", "")).await.body, b"new");
+        old.release.notify_one();
+        assert_eq!(busy.message().await.expect("an answer").body, b"released");
+        eventually("its last connection closes", || old.open.get() == 0).await;
+        assert_eq!(client.ask(&request("unsafe", "", "")).await.body, b"new");
+    });
+}
+
 /// A connection that does not come up in time proves that the request never ran: it may go elsewhere.
 #[test]
 fn a_connection_that_never_comes_up_is_bounded() {
