--- a/proxy/src/driver.rs
+++ b/proxy/src/driver.rs
@@ -21,8 +21,8 @@
 use tokio::task::spawn_local;
 use tokio::time::{sleep_until, timeout_at, Instant};
 
-/// How long before a host closes an idle connection it is no longer used.
-const IDLE_MARGIN: Duration = Duration::from_secs(2);
+/// Share of the time for which hosts keep an idle connection, after which it is no longer used.
+const IDLE_PART: f64 = 0.9;
 /// How often idle connections are looked through.
 const SWEEP: Duration = Duration::from_secs(1);
 /// How many sweeps pass between two lines of figures in the log.
@@ -455,13 +455,10 @@
             return self.events.push_back(ended(id, attempt, Outcome::NotSent, Duration::ZERO, closed));
         };
         let (meter, forward, address) = (Meter::default(), call.forward.clone(), host.dial);
-        let kept = loop {
-            // One that the host has closed meanwhile is passed over.
-            match host.idle.pop() {
-                Some((_, connection)) if !connection.is_ready() => {}
-                other => break other.map(|(_, connection)| connection),
-            }
-        };
+        // A request must not cross its host's close: old ones and those closed meanwhile are passed over.
+        let keep = self.config.conn_idle.mul_f64(IDLE_PART);
+        host.idle.retain(|(since, connection)| since.elapsed() < keep && connection.is_ready());
+        let kept = host.idle.pop().map(|(_, connection)| connection);
         let task = {
             let (handle, meter) = (handle.clone(), meter.clone());
             upstream::spawn(async move {
@@ -560,7 +557,7 @@
 
     /// Closes connections that have stood idle for nearly as long as hosts keep them.
     fn sweep(&mut self) {
-        let keep = self.config.conn_idle.saturating_sub(IDLE_MARGIN);
+        let keep = self.config.conn_idle.mul_f64(IDLE_PART);
         self.hosts.values_mut().for_each(|host| host.idle.retain(|(since, _)| since.elapsed() < keep));
     }
 }
--- a/proxy/tests/hosts.rs
+++ b/proxy/tests/hosts.rs
@@ -67,6 +67,23 @@
     });
 }
 
+/// Nor is one used that is due and not yet retired: looking through them now and then would leave a gap.
+#[test]
+fn a_connection_that_is_due_is_not_used_again() {
+    run(async {
+        let host = Host::start([ok("served")]).await;
+        let proxy = Proxy::with(&Discovery::quiet().await, from_ref(&host), |config| {
+            config["settings"]["limits"]["conn_idle_us"] = 0.into();
+        })
+        .await;
+        let mut client = proxy.client().await;
+        for _ in 0..3 {
+            assert_eq!(client.ask(&request("free", "", "")).await.status(), 200);
+        }
+        assert_eq!(host.opened.get(), 3);
+    });
+}
+
 /// An address where connections do not come up: the listener's queue of new ones is full.
 async fn never_up() -> (Host, Vec<TcpStream>, TcpListener) {
     let socket = TcpSocket::new_v4().expect("a socket");
