Read the configuration again on SIGHUP and move the watch

Cause: main.rs had no handler. Ruled out: planned restarts, which end with 0 as before.

The handler is installed before the configuration is read. A reload takes over discovery, descriptors and connection times (Config::renewed); a new discovery is watched at once from the version in hand, and lines that a replaced watch still has at hand are dropped by its number (Driver::watches). A broken file leaves a line. The module forgets a pending ask once news have come: it would replace the watch that brought them.

Test: process.rs, the program itself gets SIGHUP with a broken and with a good file.

--- a/proxy/src/config.rs
+++ b/proxy/src/config.rs
@@ -13,7 +13,7 @@
 const SPARE_DESCRIPTORS: usize = 32;
 
 /// The configuration, checked.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Config {
     /// Where the application connects.
     pub listen: SocketAddr,
@@ -112,6 +112,15 @@
         })
     }
 
+    /// What a running proxy takes over from a new configuration. The rest is for its whole life; whether the two
+    /// differ there comes back too.
+    pub fn renewed(&self, new: Config) -> (Config, bool) {
+        let Config { discovery, sockets, connect_timeout, conn_idle, .. } = new;
+        let old = (self.listen, &self.settings, &self.classes, &self.tenants);
+        let differs = old != (new.listen, &new.settings, &new.classes, &new.tenants);
+        (Config { discovery, sockets, connect_timeout, conn_idle, ..self.clone() }, differs)
+    }
+
     /// Most connections to clients, and as many to hosts.
     pub fn connections_each_way(&self) -> usize {
         (self.sockets - SPARE_DESCRIPTORS) / 2
--- a/proxy/src/driver.rs
+++ b/proxy/src/driver.rs
@@ -181,6 +181,8 @@
     seq: Option<u64>,
     listed: bool,
     watch: Option<upstream::Task>,
+    /// Number of the present watch: what an earlier one still has to say no longer counts.
+    watches: u64,
     /// One reference for each open connection to a host, and this one.
     slots: Rc<()>,
     counts: Counts,
@@ -227,6 +229,7 @@
             seq: config.known.as_ref().map(|known| known.seq),
             listed: false,
             watch: None,
+            watches: 0,
             slots: Rc::default(),
             counts: Counts::default(),
             config: config.clone(),
@@ -234,7 +237,7 @@
         let handle = Handle(Rc::new(RefCell::new(driver)));
         handle.run([Event::Start]);
         if let Some(known) = config.known.clone() {
-            handle.members(known, true);
+            handle.members(known, None);
         }
         if !config.settings.ask {
             handle.0.borrow_mut().subscribe(&handle);
@@ -262,6 +265,19 @@
         self.0.borrow().config.clone()
     }
 
+    /// Goes on under a new configuration. Its discovery is watched at once, from the version of the list in hand.
+    pub fn reload(&self, config: Config) {
+        let mut driver = self.0.borrow_mut();
+        let (config, differs) = driver.config.renewed(config);
+        let moved = config.discovery != driver.config.discovery;
+        let left = if differs { "; what else changed takes a restart" } else { "" };
+        crate::log(&format!("configuration read again, discovery at {}{left}", config.discovery));
+        driver.config = Rc::new(config);
+        if moved {
+            driver.subscribe(self);
+        }
+    }
+
     /// Writes the figures so far to the log.
     pub fn log_counts(&self) {
         let driver = self.0.borrow();
@@ -298,9 +314,15 @@
         }
     }
 
-    /// Takes a list in: hosts that it does not name ready get nothing more that is not yet on its way.
-    fn members(&self, list: List, cached: bool) {
+    /// Takes a list in, from a watch or (`None`) the configuration: hosts that it does not name ready get nothing
+    /// more that is not yet on its way.
+    fn members(&self, list: List, watch: Option<u64>) {
         let mut driver = self.0.borrow_mut();
+        // A watch that was replaced may have more lines at hand; their versions are another discovery's.
+        if watch.is_some_and(|watch| watch != driver.watches) {
+            return;
+        }
+        let cached = watch.is_none();
         driver.listed |= !cached || !list.hosts.is_empty();
         driver.seq = Some(list.seq);
         let kind = match list.whole {
@@ -502,9 +524,14 @@
     fn subscribe(&mut self, handle: &Handle) {
         let (handle, discovery, since) = (handle.clone(), self.config.discovery, self.seq);
         let pushed = !self.config.settings.ask;
+        self.watches += 1;
+        let watch = self.watches;
         // The task of the last watch, if there is one, ends here.
         self.watch = Some(upstream::spawn(async move {
-            let reason = discovery::watch(discovery, since, |list| handle.members(list, false)).await;
+            let reason = discovery::watch(discovery, since, |list| handle.members(list, Some(watch))).await;
+            if handle.0.borrow().watches != watch {
+                return;
+            }
             crate::log(&format!("discovery: {reason}"));
             handle.run([Event::Members { kind: ListKind::Failed, entries: Vec::new() }]);
             if pushed {
--- a/proxy/src/lib.rs
+++ b/proxy/src/lib.rs
@@ -20,9 +20,27 @@
     let _ = writeln!(io::stderr(), "nettleworks: {line}");
 }
 
-/// Serves until `stop` is done and all that was taken is answered. Runs inside a [`tokio::task::LocalSet`].
-pub async fn run(config: Config, listener: TcpListener, stop: impl Future<Output = ()>) {
+/// Serves until `stop` is done and all that was taken is answered. `reload` gives the next configuration each
+/// time there is one, and `None` when none will come. Runs inside a [`tokio::task::LocalSet`].
+pub async fn run(
+    config: Config,
+    listener: TcpListener,
+    mut reload: impl AsyncFnMut() -> Option<Result<Config, String>>,
+    stop: impl Future<Output = ()>,
+) {
     let driver = driver::Handle::start(Rc::new(config));
-    server::serve(listener, driver.clone(), stop).await;
-    driver.log_counts();
+    let reloads = async {
+        while let Some(config) = reload().await {
+            match config {
+                Ok(config) => driver.reload(config),
+                // A broken file must not end what serves well with the one before.
+                Err(reason) => log(&format!("configuration kept: {}", reason.replace('\n', " "))),
+            }
+        }
+        std::future::pending().await
+    };
+    tokio::select! {
+        () = server::serve(listener, driver.clone(), stop) => driver.log_counts(),
+        () = reloads => {}
+    }
 }
--- a/proxy/src/main.rs
+++ b/proxy/src/main.rs
@@ -1,4 +1,4 @@
-//! The program: reads the configuration, serves, and stops on SIGTERM.
+//! The program: reads the configuration, serves, reads it again on SIGHUP, and stops on SIGTERM.
 #![forbid(unsafe_code)]
 
 use nettleworks::config::Config;
@@ -22,16 +22,23 @@
 
 fn start() -> Result<(), String> {
     let path = std::env::var_os("ROUTER_CONFIG").ok_or("ROUTER_CONFIG is not set")?;
-    let config = Config::load(Path::new(&path))?;
+    let path = Path::new(&path);
     let runtime = runtime::Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string())?;
     LocalSet::new().block_on(&runtime, async {
+        // First of all: a signal without a handler ends the program.
         let mut terminate = signal(SignalKind::terminate()).map_err(|e| e.to_string())?;
+        let mut hangup = signal(SignalKind::hangup()).map_err(|e| e.to_string())?;
+        let config = Config::load(path)?;
         let listener = server::listen(config.listen).map_err(|e| format!("{}: {e}", config.listen))?;
         let stop = async move {
             terminate.recv().await;
         };
-        nettleworks::run(config, listener, stop).await;
-        // What is left are tasks without a client: timers, the watch, idle connections.
+        let reload = async || {
+            hangup.recv().await?;
+            Some(Config::load(path))
+        };
+        nettleworks::run(config, listener, reload, stop).await;
+        // What is left are tasks without a client: the watch, idle connections.
         Ok(())
     })
 }
--- a/proxy/tests/common/mod.rs
+++ b/proxy/tests/common/mod.rs
@@ -226,6 +226,13 @@
         discovery
     }
 
+    /// Whether the other side has closed the last watch.
+    pub fn is_left(&self) -> bool {
+        let watch = self.watch.borrow();
+        let stream: &TcpStream = watch.as_ref().expect("a watch").as_ref();
+        stream.try_read(&mut [0]).is_ok_and(|count| count == 0)
+    }
+
     pub async fn push(&self, text: &str) {
         let mut watch = self.watch.borrow_mut().take().expect("a watch");
         watch.write_all(text.as_bytes()).await.expect("written");
@@ -293,7 +300,7 @@
         let listener = nettleworks::server::listen(config.listen).expect("it listens");
         let address = listener.local_addr().expect("an address");
         let (stop, stopped) = oneshot::channel();
-        let task = spawn_local(nettleworks::run(config, listener, async {
+        let task = spawn_local(nettleworks::run(config, listener, async || None, async {
             let _ = stopped.await;
         }));
         Proxy { address, stop: Some(stop), task }
--- a/proxy/tests/process.rs
+++ b/proxy/tests/process.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use std::io::Read;
+use std::io::{BufRead, BufReader, Read};
 use std::process::{Command, Stdio};
 use std::slice::from_ref;
 use std::time::Duration;
@@ -95,6 +95,49 @@
     });
 }
 
+/// SIGHUP must not end the program. It reads its file again and goes on with the hosts that it has; it watches
+/// the new discovery at once, from the version in hand, and what the old one still says no longer counts.
+#[test]
+fn a_new_configuration_moves_the_watch_and_keeps_the_hosts() {
+    run(async {
+        let (host, other) = (Host::start([ok("first")]).await, Host::start([ok("second")]).await);
+        let (old, new) = (Discovery::quiet().await, Discovery::quiet().await);
+        let free = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = free.local_addr().expect("an address");
+        drop(free);
+        let config = |discovery: &Discovery| {
+            configuration(discovery.address, from_ref(&host), |config| {
+                config["listen"] = address.to_string().into();
+            })
+        };
+        let (mut command, path) = program(&config(&old), "reload.json");
+        let mut child = command.spawn().expect("it starts");
+        let id = child.id().to_string();
+        let hangup = || {
+            let sent = Command::new("kill").args(["-HUP", &id]).status();
+            assert!(sent.expect("kill runs").success());
+        };
+        eventually("the old watch is open", || old.asked.borrow().len() == 1).await;
+        let mut client = Reader::new(TcpStream::connect(address).await.expect("the program accepts"));
+        assert_eq!(client.ask(&request("unsafe", "", "")).await.body, b"first");
+        std::fs::write(&path, "{ broken").expect("written");
+        hangup();
+        // Read in order: the line about the broken file comes before that of the good one.
+        let mut log = BufReader::new(child.stderr.take().expect("piped")).lines();
+        while !log.next().expect("a line").expect("text").contains("configuration kept") {}
+        std::fs::write(&path, config(&new)).expect("written");
+        hangup();
+        eventually("the new watch is open", || new.asked.borrow().len() == 1).await;
+        assert_eq!(new.asked.borrow()[0], "GET /catalog/members?follow=1&since=41 HTTP/1.1");
+        assert_eq!(client.ask(&request("unsafe", "", "")).await.body, b"first");
+        eventually("the old watch is closed", || old.is_left()).await;
+        new.push(&chunk(&list(42, true, &[entry("s-9", other.address, "Ready")]))).await;
+        while client.ask(&request("unsafe", "", "")).await.body != b"second" {}
+        child.kill().expect("it still runs");
+        child.wait().expect("it can be waited for");
+    });
+}
+
 #[test]
 fn a_broken_configuration_ends_it_with_one_line() {
     let good = run(async { configuration(Discovery::quiet().await.address, &[], |_| ()) });
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -1,10 +1,11 @@
 //! All decisions of the balancer. Its interface (settings, events, actions) is `src/api.rs`; the mechanism
-//! and the condition of each departure from it are in `docs/design.md`.
+//! and the condition of each departure from it are in `docs/design.md`. Budgets are `src/budget.rs`.
 //!
 //! A call goes to the less-loaded of two random servers under their in-flight budgets, waits in the hold when
 //! all are full, may pass one as the trial that can raise it, and is refused when no server is up.
 
 use crate::api::*;
+use crate::budget::{enough, Budget, Pool, BACKOFF_DOUBLINGS, CUT_MOST, RATE_MEMORY, SMOOTHING};
 use crate::state::{Attempt, Call, Pace, Route, Trial};
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg32;
@@ -12,14 +13,7 @@
 
 // Constants. Spans are ratios to the settings' aims or to observed answer times.
 
-/// Most steps of a budget: A105's default for its connections.
-const STEP_CLAMP: u32 = 10;
-/// Calls in flight at a server over all balancers, for a few cores: at first, when all balancers come at once
-/// and a jam would last; and where mild strain leads, from above or below.
-const START_CONCURRENCY: f64 = 7.0;
-const FLOOR_CONCURRENCY: f64 = 12.0;
-/// What one round leaves of the concurrency at the least (TCP's cut), and what a refusal as full leaves.
-const CUT_MOST: f64 = 0.5;
+/// What a refusal as full leaves of the concurrency.
 const CUT_FULL: f64 = 0.8;
 /// An answer is strained beyond this many times its class's unloaded time: about two calls a core.
 const STRAIN_TIMES: f64 = 3.0;
@@ -29,18 +23,13 @@
 const BUSY_FULL: f64 = 0.9;
 /// Strain beyond which a budget is cut below its floor: answers take more than half their aim.
 const STRAIN_DEEP: f64 = 1.5;
-/// What a deep cut leaves of the floor at the least: an idle half of a few cores.
-const DEEP_FLOOR: f64 = 0.2;
-/// Weight of a new answer in a server's strain and in a class's mean: about twenty answers are remembered.
-const SMOOTHING: f64 = 0.1;
 /// Time over which a class's unloaded answer time may drift up to its present mean.
 const BASE_DRIFT: f64 = 120e6;
 /// Weight of a new outcome in a server's share of failures, and the share that sets it aside: two in four.
 const FAIL_WEIGHT: f64 = 0.2;
 const FAIL_LIMIT: f64 = 0.3;
-/// First backoff as a share of the longest aim, and the number of doublings up to its cap.
+/// First backoff as a share of the longest aim.
 const BACKOFF_AIM: f64 = 0.25;
-const BACKOFF_DOUBLINGS: u32 = 4;
 /// Wait in the hold beyond which new calls are refused, as a share of their aim.
 const WAIT_AIM: f64 = 0.1;
 /// Usual answer times that must be left before the aim: for a second copy, and for a protected call to wait.
@@ -52,127 +41,14 @@
 const LOOK_PAST: usize = 16;
 /// Memory of how busy a server was kept, in sends of this balancer for each server.
 const BUSY_ROUNDS: f64 = 4.0;
-/// A server's first budget under which all servers share one: half a call, which would round to none.
-const POOL_UNDER: f64 = 0.5;
-/// Usual calls that a shared budget lets go at once; what it is cut to at the least, as a share of the first.
-const POOL_BURST: f64 = 2.0;
-const POOL_FLOOR: f64 = 0.05;
 /// Servers that a shared budget's calls go to at the least, and the mean in flight at each beyond which more.
 const WINDOW_LEAST: usize = 8;
 const WINDOW_BUSY: f64 = 0.05;
 /// Doublings of a zone's backoff up to a server's first: one failed connection says little of a zone.
 const ZONE_DOUBLINGS: u32 = 3;
-/// Memory of the rate of answers.
-const RATE_MEMORY: f64 = 3e6;
 
 type Actions = Vec<Action>;
 
-/// Per-server in-flight budget: steps x concurrency, grown one served trial at a time under a shared backoff.
-#[derive(Debug, Default)]
-struct Budget {
-    steps: u32,
-    concurrency: f64,
-    /// The budget that cuts leave at the least.
-    floor: f64,
-    trial_out: bool,
-    doublings: u32,
-    backoff_end: Micros,
-}
-
-impl Budget {
-    fn new(balancers: u32) -> Self {
-        let of_all = |concurrency: f64| concurrency / f64::from(balancers.max(1));
-        let (concurrency, floor) = (of_all(START_CONCURRENCY), of_all(FLOOR_CONCURRENCY));
-        Budget { steps: 1, concurrency, floor, ..Budget::default() }
-    }
-
-    fn trial_ready(&self, now: Micros) -> bool {
-        !self.trial_out && now >= self.backoff_end
-    }
-
-    fn trial_served(&mut self) {
-        self.doublings = 0;
-        if self.steps < STEP_CLAMP {
-            self.steps += 1;
-        } else {
-            // At the clamp the concurrency figure itself was learned too low: it takes the step instead.
-            self.concurrency *= 1.0 + 1.0 / f64::from(STEP_CLAMP);
-        }
-    }
-
-    fn back_off(&mut self, now: Micros, first: Micros) {
-        self.backoff_end = now + (first << self.doublings);
-        self.doublings = (self.doublings + 1).min(BACKOFF_DOUBLINGS);
-    }
-
-    /// A cut ends at the floor, and comes up to it after a deep one. Deep are a refusal as full, and answers
-    /// near their aim or past it: the server then does far less than the floor supposes.
-    fn cut(&mut self, to: f64, deep: bool) {
-        let least = if deep { self.floor * DEEP_FLOOR } else { self.floor } / f64::from(self.steps.max(1));
-        self.concurrency = (self.concurrency * to.max(CUT_MOST)).max(least);
-    }
-}
-
-/// Do so many answers, or so long a time, since a budget changed tell what the change did?
-fn enough(answers: u32, since: Micros, usual: f64) -> bool {
-    f64::from(answers) * SMOOTHING >= 1.0 || since as f64 >= 2.0 * usual
-}
-
-/// The budget of all servers together, where one server's would be far under a call: a thousand balancers at
-/// a call each would crowd it, and each meets it too seldom to learn what it takes. It bounds the mean number
-/// in flight; its trial and its backoff are shared by all servers.
-#[derive(Debug, Default)]
-struct Pool {
-    budget: Budget,
-    up: f64,
-    /// Time in flight that was taken ahead of the budget, and when that was reckoned.
-    debt: f64,
-    at: Micros,
-    used: f64,
-    strain: f64,
-    answers: u32,
-    changed: Micros,
-    heard: Micros,
-}
-
-impl Pool {
-    fn new(balancers: u32) -> Option<Self> {
-        let mut budget = Budget::new(balancers);
-        budget.floor = budget.concurrency * POOL_FLOOR;
-        (budget.concurrency < POOL_UNDER).then(|| Pool { budget, ..Pool::default() })
-    }
-
-    fn total(&self) -> f64 {
-        f64::from(self.budget.steps) * self.budget.concurrency * self.up
-    }
-
-    fn charge(&mut self, now: Micros, time: f64) {
-        let paid = self.total() * now.saturating_sub(self.at) as f64;
-        (self.debt, self.at) = ((self.debt - paid).max(0.0) + time, now);
-    }
-
-    fn room_at(&self, usual: f64) -> Micros {
-        let over = (self.debt - POOL_BURST * usual).max(0.0) / self.total().max(f64::MIN_POSITIVE);
-        self.at.saturating_add(over as Micros)
-    }
-
-    /// Strain seen at whichever server lowers the budget, counted from what was used of it.
-    fn learn(&mut self, now: Micros, strain: f64, elapsed: f64, usual: f64) {
-        let gap = now.saturating_sub(self.heard) as f64 / RATE_MEMORY;
-        self.heard = now;
-        self.used = self.used * (-gap).exp() + elapsed / RATE_MEMORY;
-        self.strain += (strain - self.strain) * SMOOTHING.max(1.0 - (-gap).exp());
-        self.answers += 1;
-        if self.strain > 1.0 && enough(self.answers, now.saturating_sub(self.changed), usual) {
-            let used = self.used / (f64::from(self.budget.steps) * self.up.max(1.0));
-            self.budget.concurrency = self.budget.concurrency.min(used.max(self.budget.floor));
-            self.budget.cut(1.0 / self.strain, false);
-            self.strain = self.strain.sqrt();
-            (self.answers, self.changed) = (0, now);
-        }
-    }
-}
-
 /// A server as this balancer sees it.
 #[derive(Debug, Default)]
 struct Server {
@@ -402,6 +278,8 @@
             return;
         }
         self.ask_failures *= u32::from(kind == ListKind::Cached);
+        // News prove that asking works again, whoever asked.
+        self.ask_at = Micros::MAX;
         self.servers.iter_mut().for_each(|s| s.listed &= kind == ListKind::Delta);
         for entry in entries {
             let found = self.servers.binary_search_by_key(&entry.server, |s| s.id);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -27,6 +27,7 @@
 
 mod api;
 mod balance;
+mod budget;
 mod state;
 
 pub use api::*;
