Hold a broken connection against the connection, not its host

Cause: Balancer::learn took a step for each reset, the last one too, so that a single broken connection set a host aside.

Outcome::Stale: a kept connection that broke within 20 ms with nothing read; it may have run, and blames nobody. A reset weighs half; a lively server loses a step only when one more connection breaks soon after, its last step only with its share of failures.

Tests: rules.rs, hosts.rs.

--- a/proxy/src/driver.rs
+++ b/proxy/src/driver.rs
@@ -381,7 +381,7 @@
         let exchange = async {
             if let Some(connection) = kept {
                 let end = upstream::exchange(connection, forward.request(until), meter).await;
-                let broken = end.as_ref().is_none_or(|end| end.outcome == Outcome::Reset);
+                let broken = end.as_ref().is_none_or(|end| end.outcome == Outcome::Stale);
                 self.count(|counts| counts.broken_reuse += u64::from(broken));
                 if let Some(end) = end {
                     return end;
--- a/proxy/src/upstream.rs
+++ b/proxy/src/upstream.rs
@@ -15,7 +15,7 @@
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::task::{yield_now, AbortHandle};
-use tokio::time::timeout;
+use tokio::time::{timeout, Instant};
 
 /// Most bytes of a body, either way.
 pub const BODY_MOST: usize = 64 << 10;
@@ -27,6 +27,9 @@
 /// Time for the rest of an answer that is not passed on; past it the connection is given up instead.
 const REST: Duration = Duration::from_millis(20);
 
+/// A kept connection that breaks within this time of being written to was closed before the request came.
+const CROSSING: Duration = Duration::from_millis(20);
+
 /// Any failure, in words.
 pub type BoxError = Box<dyn Error + Send + Sync>;
 
@@ -114,10 +117,17 @@
     meter: &Meter,
 ) -> Option<End> {
     connection.socket.count(meter);
+    let (kept, started) = (connection.reads > 0, Instant::now());
     let response = match connection.sender.send_request(request).await {
         Ok(response) => response,
         Err(_) if meter.get() == 0 => return None,
-        Err(error) => return Some(End::without_answer(broken(&error))),
+        Err(error) => {
+            // The one read since is that of its end: nothing of an answer has come.
+            let unanswered = kept && connection.socket.reads() <= connection.reads + 1;
+            let outcome = broken(&error);
+            let stale = outcome == Outcome::Reset && unanswered && started.elapsed() < CROSSING;
+            return Some(End::without_answer(if stale { Outcome::Stale } else { outcome }));
+        }
     };
     let (head, body) = response.into_parts();
     let load = report(&head.headers);
--- a/proxy/tests/hosts.rs
+++ b/proxy/tests/hosts.rs
@@ -39,6 +39,20 @@
     });
 }
 
+/// A host may close a kept connection just as a request is written to it. What may be repeated goes again at once,
+/// to the same host, which is not to blame.
+#[test]
+fn a_kept_connection_that_breaks_sets_no_host_aside() {
+    run(async {
+        let host = Host::start([ok("one"), Act::SayAndClose(String::new()), ok("three")]).await;
+        let proxy = Proxy::start(from_ref(&host)).await;
+        let mut client = proxy.client().await;
+        assert_eq!(client.ask(&request("keyed", "", "")).await.body, b"one");
+        assert_eq!(client.ask(&request("keyed", "", "")).await.body, b"three");
+        assert_eq!((host.count(), host.opened.get()), (3, 2));
+    });
+}
+
 /// More than belongs to an answer makes its connection useless; a later request must not get it.
 #[test]
 fn what_follows_an_answer_is_nobodys() {
--- a/src/api.rs
+++ b/src/api.rs
@@ -222,6 +222,9 @@
     NoConnection,
     /// The connection broke while the attempt was out.
     Reset,
+    /// A connection that had been kept broke before anything came back: its server may have closed it earlier.
+    /// The attempt may have run.
+    Stale,
     /// Called off by this balancer.
     CalledOff,
     /// Never sent.
@@ -238,9 +241,9 @@
         matches!(self, Outcome::TurnedAway | Outcome::NoConnection | Outcome::NotSent)
     }
 
-    /// Whether this says nothing of the server's health: the proxy or the request itself was the cause.
+    /// Whether this says nothing of the server's health: the proxy, the request or one connection was the cause.
     pub(crate) fn says_nothing(self) -> bool {
-        matches!(self, Outcome::CalledOff | Outcome::NotSent | Outcome::Unusable)
+        matches!(self, Outcome::CalledOff | Outcome::NotSent | Outcome::Stale | Outcome::Unusable)
     }
 }
 
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -447,7 +447,7 @@
         if lost && self.pool.is_some() {
             let doublings = cut.0.min(BACKOFF_DOUBLINGS + ZONE_DOUBLINGS);
             *cut = (cut.0.saturating_add(1), now + ((first << doublings) >> ZONE_DOUBLINGS));
-        } else if !matches!(outcome, Outcome::TimedOut | Outcome::CalledOff | Outcome::NotSent) {
+        } else if !outcome.says_nothing() && outcome != Outcome::TimedOut {
             *cut = (0, 0);
         }
         let Ok(place) = self.servers.binary_search_by_key(&id, |s| s.id) else { return };
@@ -457,7 +457,7 @@
         }
         server.in_flight = server.in_flight.saturating_sub(1);
         // What was not served counts as a whole aim: quick refusals and errors must not make it look idle.
-        let fair = matches!(outcome, Outcome::Served | Outcome::Unusable);
+        let fair = matches!(outcome, Outcome::Served | Outcome::Stale | Outcome::Unusable);
         let least = if fair { 0.0 } else { longest_aim };
         server.kept_busy(least.max(elapsed as f64), self.sends, per);
         let strain = (elapsed as f64 / limit).min(4.0);
@@ -472,8 +472,8 @@
             _ => true,
         };
         // A time-out proves less than an error: a crowded server may owe a lone call for that long. So does
-        // an answer that cannot be read: the server works, and now and then one is spoilt at any of them.
-        let weak = matches!(outcome, Outcome::TimedOut | Outcome::Unknown);
+        // what one connection did: now and then an answer is spoilt or breaks off at any server.
+        let weak = matches!(outcome, Outcome::TimedOut | Outcome::Unknown | Outcome::Reset);
         let weight = if weak { FAIL_WEIGHT / 2.0 } else { FAIL_WEIGHT };
         server.failing += (if failed { 1.0 } else { 0.0 } - server.failing) * weight;
         // Few answers a second must not make the strain a memory of long ago.
@@ -501,7 +501,11 @@
             (server.answers_since, server.changed) = (0, now);
         }
         let was_up = server.budget.steps > 0;
-        server.budget.steps -= u32::from(lost && was_up);
+        // One connection that broke is no proof against a server that has only just answered: a step goes
+        // when one more breaks soon after, and the last step with the server's share of failures.
+        let lively = server.answered > 0 && now.saturating_sub(server.answered) <= first;
+        let proof = server.failing > FAIL_LIMIT / 2.0 && server.budget.steps > 1;
+        server.budget.steps -= u32::from(lost && was_up && (proof || !lively));
         server.budget.trial_out &= trial != Trial::Server;
         if trial == Trial::Server {
             if outcome != Outcome::Served {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -231,6 +231,27 @@
     }
 }
 
+/// Connections break now and then at any server. One that breaks must not set aside a server that answers others,
+/// and a kept one that was closed earlier says nothing of its server at all.
+#[test]
+fn connections_that_break_now_and_then_set_no_server_aside() {
+    for (outcome, every) in [(Outcome::Reset, 12), (Outcome::Stale, 3)] {
+        let mut proxy = Proxy::new(settings(Repeat::SingleShot), 4);
+        let mut counts = [0; 5];
+        for _ in 0..400 {
+            let (call, actions) = proxy.call();
+            let count = &mut counts[sent(&actions)[0].1 .0 as usize];
+            *count += 1;
+            let end = if *count % every == 0 { outcome } else { Outcome::Served };
+            proxy.now += 2 * MS;
+            let actions = proxy.end(call, 0, end, 2 * MS);
+            assert_eq!(failed(&actions, call), end == outcome, "it may have run: it is not sent again");
+        }
+        let aside = |action: &Action| matches!(action, Action::Log { text } if text.ends_with("set aside"));
+        assert!(!proxy.actions.iter().any(aside), "{outcome:?}");
+    }
+}
+
 /// Spoilt answers come from any server now and then: two close together are no reason to leave one out, but a
 /// server that spoils most must not draw calls by being quick.
 #[test]
