--- a/proxy/src/server.rs
+++ b/proxy/src/server.rs
@@ -31,8 +31,9 @@
 const WHOLE_TIME: Duration = Duration::from_millis(2_500);
 /// How long a connection is kept on which no request is open. Clients may keep theirs for good and never use
 /// them again; those that do use them come back far sooner.
-const IDLE_MOST: Duration = Duration::from_secs(15);
-/// A connection on which no request has been open for this long may be closed for another's sake.
+const IDLE_MOST: Duration = Duration::from_secs(30);
+/// A connection on which no request has been open for this long may be closed for another's sake; all such are
+/// while more than half of the places are taken: clients that need a new one must find it at once.
 const IDLE_LEAST: Duration = Duration::from_secs(2);
 /// A client that means to ask has begun to by now, and has read its last answer.
 const BEGUN: Duration = Duration::from_millis(200);
@@ -120,11 +121,12 @@
 }
 
 impl Client {
-    /// Whether its time is up.
-    fn is_due(&self, now: Instant) -> bool {
+    /// Whether its time is up; one with no request open has `idle`.
+    fn is_due(&self, now: Instant, idle: Duration) -> bool {
         match self.phase.get() {
             Phase::New(since) | Phase::Begun(since) => now >= since + WHOLE_TIME,
-            Phase::Idle(since) => now >= since + IDLE_MOST,
+            // What has come and was not read may be a whole request.
+            Phase::Idle(since) => now >= since + idle && self.socket.is_quiet(),
             Phase::Open => false,
         }
     }
@@ -178,6 +180,8 @@
     /// Closes what is due, and notes whose next request has begun to come.
     fn sweep(&mut self) {
         let now = Instant::now();
+        let crowded = 2 * self.open.len() > self.driver.config().connections_to_clients();
+        let idle = if crowded { IDLE_LEAST } else { IDLE_MOST };
         self.open.retain(|client| {
             if let Phase::Idle(since) = client.phase.get() {
                 let read_at = client.socket.read_at();
@@ -185,7 +189,7 @@
                     client.phase.set(Phase::Begun(read_at));
                 }
             }
-            let due = client.is_due(now);
+            let due = client.is_due(now, idle);
             if due {
                 client.close();
             }
--- a/proxy/tests/requests.rs
+++ b/proxy/tests/requests.rs
@@ -138,6 +138,27 @@
     });
 }
 
+/// Clients that ask once and keep their connections for good must not fill the places, one after the other.
+#[test]
+fn idle_connections_are_closed_while_places_are_few() {
+    run(async {
+        let host = Host::start([ok("served")]).await;
+        let proxy = Proxy::with(&Discovery::quiet().await, &[host], |config| {
+            config["limits"]["sockets"] = 64.into();
+        })
+        .await;
+        let mut clients = Vec::new();
+        // More than half of 20 places.
+        for _ in 0..15 {
+            let mut client = proxy.client().await;
+            assert_eq!(client.ask(&request("free", "", "")).await.status(), 200);
+            clients.push(client);
+        }
+        let closed = |client: &Client| client.stream.try_read(&mut [0]).is_ok_and(|count| count == 0);
+        eventually("they are closed", || clients.iter().filter(|client| closed(client)).count() >= 5).await;
+    });
+}
+
 /// At the limit those that never asked make room first, and one that has just been answered keeps its connection.
 #[test]
 fn clients_that_ask_keep_their_connections() {
