Move the decision module to policy/ and the driver to engine/: a package a concern

Need: driver, HTTP front and program were one package, and the workspace's root was the decision module; a library, ISO 8583 and identities need the engine without the front.

Change: moves only. The files keep their text but for lists of modules and the path of the README in a doctest; manifests and deploy/balancer.toml follow. The workspace is virtual.

--- a/src/lib.rs
+++ b/policy/src/lib.rs
@@ -35,5 +35,5 @@
 
 /// The README's example is compiled as a test too.
 #[cfg(doctest)]
-#[doc = include_str!("../README.md")]
+#[doc = include_str!("../../README.md")]
 struct Readme;
--- a/proxy/src/lib.rs
+++ b/proxy/src/lib.rs
@@ -3,25 +3,16 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
-pub mod config;
-pub mod discovery;
-pub mod driver;
 mod requests;
 pub mod server;
-mod socket;
-pub mod upstream;
 
 use config::Config;
+use nettleworks_engine::{log, socket};
+pub use nettleworks_engine::{config, discovery, driver, upstream};
 use std::future::Future;
-use std::io::{self, Write};
 use std::rc::Rc;
 use tokio::net::TcpListener;
 
-/// Writes a line to the log. A log that cannot be written to is no reason to stop serving.
-fn log(line: &str) {
-    let _ = writeln!(io::stderr(), "nettleworks: {line}");
-}
-
 /// Serves until `stop` is done and all that was taken is answered. `reload` gives the next configuration each
 /// time there is one, and `None` when none will come. Runs inside a [`tokio::task::LocalSet`].
 pub async fn run(
