--- a/adapter/src/main.rs
+++ b/adapter/src/main.rs
@@ -4,7 +4,9 @@
 
 mod wire;
 
-use ochrepond::{Action, Balancer, CallId, ClassId, Entry, Event, ListKind, Outcome, ServerId, TenantId};
+use nettleworks_policy::{
+    Action, Balancer, CallId, ClassId, Entry, Event, ListKind, Outcome, ServerId, TenantId,
+};
 use std::collections::HashMap;
 use std::io::{self, BufRead, Write};
 use wire::{Batch, Command, Input, Reply};
@@ -82,7 +84,7 @@
             let facts = need(input.facts, verb, "facts")?;
             let seed = need(input.seed, verb, "seed")?;
             let (settings, classes, tenants) =
-                ochrepond_settings::read(&facts).map_err(|e| format!("facts: {e}"))?;
+                nettleworks_settings::read(&facts).map_err(|e| format!("facts: {e}"))?;
             let balancer = Balancer::new(seed, settings);
             let (numbers, names) = (HashMap::new(), HashMap::new());
             let instance = Instance { balancer, classes, tenants, numbers, names, next: 0 };
@@ -225,7 +227,7 @@
                 }
             }
             Err(fault) => {
-                eprintln!("ochrepond-adapter: line {}: {fault}", index + 1);
+                eprintln!("nettleworks-simhost: line {}: {fault}", index + 1);
                 std::process::exit(1);
             }
         }
--- a/adapter/src/wire.rs
+++ b/adapter/src/wire.rs
@@ -1,7 +1,7 @@
 //! Messages of the wire, as they are read and written.
 
-use ochrepond::{CellId, Entry, Load, Outcome, ServerId, State};
-use ochrepond_settings::zone;
+use nettleworks_policy::{CellId, Entry, Load, Outcome, ServerId, State};
+use nettleworks_settings::zone;
 use serde::{Deserialize, Serialize};
 use std::borrow::Cow;
 
--- a/adapter/tests/wire.rs
+++ b/adapter/tests/wire.rs
@@ -10,7 +10,7 @@
 const JOB: &str = r#"{"clock_us":9,"input":[{"verb":"JOB_IN","proxy":3,"call":"r-x","tier_class":"a","time_budget_us":900000}]}"#;
 
 fn run(lines: &[&str]) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_ochrepond-adapter"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_nettleworks-simhost"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
--- a/engine/src/config.rs
+++ b/engine/src/config.rs
@@ -1,7 +1,7 @@
 //! What the proxy is told at start: the file that `ROUTER_CONFIG` names.
 
 use crate::discovery::List;
-use ochrepond::Settings;
+use nettleworks_policy::Settings;
 use serde::Deserialize;
 use serde_json::Value;
 use std::net::SocketAddr;
@@ -93,7 +93,7 @@
         let file: File = serde_json::from_str(text).map_err(|e| e.to_string())?;
         let seed = u64::from_str_radix(&file.seed, 16).map_err(|e| format!("seed: {e}"))?;
         let (settings, classes, tenants) =
-            ochrepond_settings::read(&file.settings).map_err(|e| format!("settings: {e}"))?;
+            nettleworks_settings::read(&file.settings).map_err(|e| format!("settings: {e}"))?;
         let site = Site::deserialize(&file.settings).map_err(|e| format!("settings: {e}"))?.limits;
         if file.limits.sockets < 2 * SPARE_DESCRIPTORS {
             return Err(format!("limits: {} sockets are too few", file.limits.sockets));
--- a/engine/src/driver.rs
+++ b/engine/src/driver.rs
@@ -9,7 +9,7 @@
 use hyper::body::Bytes;
 use hyper::header::{HeaderMap, HeaderValue};
 use hyper::{Method, Request, Response, Uri};
-use ochrepond::{
+use nettleworks_policy::{
     Action, Balancer, CallId, CellId, ClassId, Entry, Event, ListKind, Load, Micros, Outcome, ServerId,
     State, TenantId,
 };
@@ -355,7 +355,7 @@
                 Health::Terminating => State::Draining,
                 Health::Gone => State::Gone,
             };
-            let (zone, cell) = (ochrepond_settings::zone(&entry.site), CellId(entry.block));
+            let (zone, cell) = (nettleworks_settings::zone(&entry.site), CellId(entry.block));
             let started = entry.born_ms.saturating_mul(1_000);
             entries.push(Entry { server, state, zone, cell, started, weight: entry.share });
         }
--- a/engine/src/upstream.rs
+++ b/engine/src/upstream.rs
@@ -6,7 +6,7 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{self, HeaderMap};
 use hyper::{Request, Response, StatusCode};
-use ochrepond::{Load, Outcome};
+use nettleworks_policy::{Load, Outcome};
 use std::error::Error;
 use std::future::Future;
 use std::io;
--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -1,10 +1,10 @@
-//! ochrepond makes the decisions of a sidecar balancer for service-to-service calls: which server
+//! This module makes the decisions of a sidecar balancer for service-to-service calls: which server
 //! gets a call, when a call waits, goes again, is refused or fails. It does no I/O and reads no clock.
 //!
 //! A client proxy makes one [`Balancer`], feeds it [`Event`]s and carries out the [`Action`]s:
 //!
 //! ```
-//! use ochrepond::{Action, Balancer, CallId, ClassId, Entry, Event, ListKind, ServerId, Settings, State};
+//! use nettleworks_policy::{Action, Balancer, CallId, ClassId, Entry, Event, ListKind, ServerId, Settings, State};
 //!
 //! let mut balancer = Balancer::new(7, Settings::default());
 //! let mut actions = Vec::new();
@@ -32,8 +32,3 @@
 
 pub use api::*;
 pub use balance::Balancer;
-
-/// The README's example is compiled as a test too.
-#[cfg(doctest)]
-#[doc = include_str!("../../README.md")]
-struct Readme;
--- a/policy/tests/common/mod.rs
+++ b/policy/tests/common/mod.rs
@@ -1,7 +1,7 @@
 //! A small driver of the balancer for tests: it plays the proxy and records what it is told to do.
 #![allow(dead_code)]
 
-use ochrepond::*;
+use nettleworks_policy::*;
 
 pub const MS: Micros = 1_000;
 
--- a/policy/tests/mechanism.rs
+++ b/policy/tests/mechanism.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use ochrepond::*;
+use nettleworks_policy::*;
 use std::collections::BTreeMap;
 
 /// Fills a single server's first budget (1 step x 1 call with seven balancers) and leaves the call out.
--- a/policy/tests/random.rs
+++ b/policy/tests/random.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use ochrepond::*;
+use nettleworks_policy::*;
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg32;
 use std::collections::{BTreeMap, BTreeSet};
--- a/policy/tests/rules.rs
+++ b/policy/tests/rules.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use ochrepond::*;
+use nettleworks_policy::*;
 
 const CELL: Repeat = Repeat::Guarded { scope: Scope::Cell, window: 400 * MS };
 
--- a/proxy/src/lib.rs
+++ b/proxy/src/lib.rs
@@ -1,5 +1,5 @@
 //! nettleworks is a client proxy: it takes an application's requests and passes each to a host of a fleet, as
-//! the decision module `ochrepond` says.
+//! the decision module `nettleworks_policy` says.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
@@ -7,8 +7,8 @@
 pub mod server;
 
 use config::Config;
-use nettleworks_engine::{log, socket};
 pub use nettleworks_engine::{config, discovery, driver, upstream};
+use nettleworks_engine::{log, socket};
 use std::future::Future;
 use std::rc::Rc;
 use tokio::net::TcpListener;
--- a/proxy/src/requests.rs
+++ b/proxy/src/requests.rs
@@ -7,7 +7,7 @@
 use hyper::body::{Body, Bytes, Incoming};
 use hyper::header::{self, HeaderMap, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode, Uri};
-use ochrepond::{ClassId, Repeat, TenantId};
+use nettleworks_policy::{ClassId, Repeat, TenantId};
 use std::time::Duration;
 use tokio::task::spawn_local;
 use tokio::time::{timeout, timeout_at, Instant};
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -3,7 +3,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
-use ochrepond::{Class, Goal, Limits, Repeat, Rules, Scope, Settings, Tenant, ZoneId};
+use nettleworks_policy::{Class, Goal, Limits, Repeat, Rules, Scope, Settings, Tenant, ZoneId};
 use serde::Deserialize;
 use serde_json::Value;
 
