Part the driver from HTTP by a seam: Protocol, with HTTP/1.1 and its kept connections behind it

Need: the driver held HTTP types and the idle connections; another protocol would have meant changing it.

The driver is generic, keeps only calls and hosts, and writes to a log that it is given, not to the process's. A taken id is a reply. The state of an engine can be watched.

--- a/engine/src/discovery.rs
+++ b/engine/src/discovery.rs
@@ -1,6 +1,7 @@
 //! The list of hosts: its form, and the watch that brings its changes.
 
-use crate::upstream::{self, BoxError};
+use crate::http1::{dial, BoxError};
+use crate::task;
 use http_body_util::{BodyExt, Empty};
 use hyper::body::Bytes;
 use hyper::{header, Request, StatusCode};
@@ -74,9 +75,9 @@
     since: Option<u64>,
     news: &mut impl FnMut(List),
 ) -> Result<(), BoxError> {
-    let stream = timeout(SILENCE, upstream::dial(discovery)).await??;
+    let stream = timeout(SILENCE, dial(discovery)).await??;
     let (mut sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await?;
-    let _connection = upstream::spawn(connection);
+    let _connection = task::spawn(connection);
     let since = since.map(|seq| format!("&since={seq}")).unwrap_or_default();
     let request = Request::get(format!("/catalog/members?follow=1{since}"))
         .header(header::HOST, discovery.to_string())
--- a/engine/src/upstream.rs
+++ b/engine/src/http1/exchange.rs
@@ -1,6 +1,8 @@
 //! Connections to hosts, and one exchange on one of them.
 
-use crate::socket::{Meter, Socket};
+use crate::protocol::{End, Meter};
+use crate::socket::Socket;
+use crate::task::{spawn, Task};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Bytes;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -8,13 +10,12 @@
 use hyper::{Request, Response, StatusCode};
 use nettleworks_policy::{Load, Outcome};
 use std::error::Error;
-use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::task::{yield_now, AbortHandle};
+use tokio::task::yield_now;
 use tokio::time::{timeout, Instant};
 
 /// Most bytes of a body, either way.
@@ -33,21 +34,6 @@
 /// Any failure, in words.
 pub type BoxError = Box<dyn Error + Send + Sync>;
 
-/// A task that ends with its owner.
-#[derive(Debug)]
-pub struct Task(AbortHandle);
-
-impl Drop for Task {
-    fn drop(&mut self) {
-        self.0.abort();
-    }
-}
-
-/// Runs a future on this thread for as long as the returned task is kept.
-pub fn spawn(future: impl Future + 'static) -> Task {
-    Task(tokio::task::spawn_local(async move { drop(future.await) }).abort_handle())
-}
-
 /// Opens a TCP connection without Nagle's delay.
 pub async fn dial(address: SocketAddr) -> io::Result<TcpStream> {
     let stream = TcpStream::connect(address).await?;
@@ -89,33 +75,13 @@
     }
 }
 
-/// How an attempt ended.
-#[derive(Debug)]
-pub struct End {
-    /// How.
-    pub outcome: Outcome,
-    /// The host's report on its load.
-    pub load: Load,
-    /// The answer to pass on, where it served.
-    pub answer: Option<Response<Bytes>>,
-    /// The connection, if it can be used again.
-    pub connection: Option<Connection>,
-}
-
-impl End {
-    /// An end without an answer.
-    pub fn without_answer(outcome: Outcome) -> End {
-        End { outcome, load: Load::default(), answer: None, connection: None }
-    }
-}
-
-/// Sends a request on a connection and reads the whole answer. `None`: the connection was found closed before
-/// any of the request was written.
+/// Sends a request on a connection and reads the whole answer. The connection comes back if it can be used again.
+/// `None`: it was found closed before any of the request was written.
 pub async fn exchange(
     mut connection: Connection,
     request: Request<Full<Bytes>>,
     meter: &Meter,
-) -> Option<End> {
+) -> Option<(End<Response<Bytes>>, Option<Connection>)> {
     connection.socket.count(meter);
     let (kept, started) = (connection.reads > 0, Instant::now());
     let response = match connection.sender.send_request(request).await {
@@ -126,7 +92,7 @@
             let unanswered = kept && connection.socket.reads() <= connection.reads + 1;
             let outcome = broken(&error);
             let stale = outcome == Outcome::Reset && unanswered && started.elapsed() < CROSSING;
-            return Some(End::without_answer(if stale { Outcome::Stale } else { outcome }));
+            return Some((End::without_answer(if stale { Outcome::Stale } else { outcome }), None));
         }
     };
     let (head, body) = response.into_parts();
@@ -153,7 +119,7 @@
         yield_now().await;
         again = connection.is_ready();
     }
-    Some(End { outcome, load, answer, connection: again.then_some(connection) })
+    Some((End { outcome, load, answer }, again.then_some(connection)))
 }
 
 /// Whether a head tells for sure where its body ends. Two lengths or two framings may be read in two ways, and
--- /dev/null
+++ b/engine/src/http1/mod.rs
@@ -0,0 +1,183 @@
+//! HTTP/1.1 behind the driver's seam: what a call carries, and the connections that are kept to hosts.
+
+mod exchange;
+
+pub use exchange::{dial, BoxError, BODY_MOST, HEAD_MOST};
+
+use crate::config::Config;
+use crate::protocol::{Connections, End, Meter, Protocol, Target};
+use exchange::{exchange, Connection};
+use http_body_util::Full;
+use hyper::body::Bytes;
+use hyper::header::{HeaderMap, HeaderValue};
+use hyper::{Method, Request, Response, Uri};
+use nettleworks_policy::{Outcome, ServerId};
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::time::Instant;
+
+/// Share of the time for which hosts keep an idle connection, after which it is no longer used.
+const IDLE_PART: f64 = 0.9;
+
+/// A client's request as hosts get it.
+#[derive(Debug)]
+pub struct Forward {
+    /// Its method.
+    pub method: Method,
+    /// Its path and query.
+    pub target: Uri,
+    /// Its headers, without those of the client's connection.
+    pub headers: HeaderMap,
+    /// Its body, [`BODY_MOST`] bytes at most.
+    pub body: Bytes,
+}
+
+impl Forward {
+    /// The request for one attempt, which is given up at `until`.
+    fn request(&self, until: Instant) -> Request<Full<Bytes>> {
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.target.clone();
+        *request.headers_mut() = self.headers.clone();
+        let left = until.saturating_duration_since(Instant::now()).as_millis() as u64;
+        request.headers_mut().insert("x-budget-ms", HeaderValue::from(left.max(1)));
+        request
+    }
+}
+
+/// A host that takes requests, and the idle connections to it, the most recently used last.
+struct Kept {
+    address: SocketAddr,
+    idle: Vec<(Instant, Connection)>,
+}
+
+struct Pool {
+    config: Rc<Config>,
+    hosts: HashMap<ServerId, Kept>,
+    /// One reference for each open connection to a host, and this one.
+    slots: Rc<()>,
+    counts: Connections,
+}
+
+impl Pool {
+    /// A place for one more connection to a host; the oldest idle one makes room when there is none.
+    fn slot(&mut self) -> Option<Rc<()>> {
+        if Rc::strong_count(&self.slots) > self.config.connections_to_hosts() {
+            let oldest = self.hosts.values_mut().filter(|host| !host.idle.is_empty());
+            drop(oldest.min_by_key(|host| host.idle[0].0)?.idle.remove(0));
+        }
+        Some(self.slots.clone())
+    }
+}
+
+/// HTTP/1.1 over TCP: one request at a time on a connection, kept alive.
+#[derive(Clone)]
+pub struct Http1(Rc<RefCell<Pool>>);
+
+impl Http1 {
+    /// Without a connection yet.
+    pub fn new(config: &Rc<Config>) -> Http1 {
+        let (hosts, slots, counts) = Default::default();
+        Http1(Rc::new(RefCell::new(Pool { config: config.clone(), hosts, slots, counts })))
+    }
+
+    fn count(&self, count: impl FnOnce(&mut Connections)) {
+        count(&mut self.0.borrow_mut().counts);
+    }
+
+    /// Keeps a connection, unless its host takes nothing there any more.
+    fn keep(&self, to: Target, connection: Connection) {
+        let mut pool = self.0.borrow_mut();
+        if let Some(host) = pool.hosts.get_mut(&to.server).filter(|host| host.address == to.address) {
+            host.idle.push((Instant::now(), connection));
+        }
+    }
+
+    async fn run(
+        self,
+        to: Target,
+        kept: Option<Connection>,
+        forward: Rc<Forward>,
+        until: Instant,
+        meter: Meter,
+    ) -> End<Response<Bytes>> {
+        if let Some(connection) = kept {
+            let end = exchange(connection, forward.request(until), &meter).await;
+            let broken = end.as_ref().is_none_or(|(end, _)| end.outcome == Outcome::Stale);
+            self.count(|counts| counts.broken_reuse += u64::from(broken));
+            if let Some((end, connection)) = end {
+                connection.into_iter().for_each(|connection| self.keep(to, connection));
+                return end;
+            }
+        }
+        // Nothing has been written yet, so this is no second sending.
+        let Some(slot) = self.0.borrow_mut().slot() else {
+            return End::without_answer(Outcome::NotSent);
+        };
+        let limit = self.0.borrow().config.connect_timeout;
+        let opened = Connection::open(to.address, limit, slot).await;
+        self.count(|counts| *if opened.is_ok() { &mut counts.opened } else { &mut counts.open_failed } += 1);
+        let end = match opened {
+            Ok(connection) => exchange(connection, forward.request(until), &meter).await,
+            Err(_) => None,
+        };
+        let Some((end, connection)) = end else { return End::without_answer(Outcome::NoConnection) };
+        connection.into_iter().for_each(|connection| self.keep(to, connection));
+        end
+    }
+}
+
+impl Protocol for Http1 {
+    type Id = HeaderValue;
+    type Request = Forward;
+    type Answer = Response<Bytes>;
+
+    fn attempt(
+        &self,
+        to: Target,
+        forward: Rc<Forward>,
+        until: Instant,
+        meter: &Meter,
+    ) -> impl Future<Output = End<Response<Bytes>>> + 'static {
+        let mut pool = self.0.borrow_mut();
+        // A request must not cross its host's close: old ones and those closed meanwhile are passed over.
+        let keep = pool.config.conn_idle.mul_f64(IDLE_PART);
+        let kept =
+            pool.hosts.get_mut(&to.server).filter(|host| host.address == to.address).and_then(|host| {
+                host.idle.retain(|(since, connection)| since.elapsed() < keep && connection.is_ready());
+                host.idle.pop().map(|(_, connection)| connection)
+            });
+        self.clone().run(to, kept, forward, until, meter.clone())
+    }
+
+    fn admit(&self, to: Target) {
+        let mut pool = self.0.borrow_mut();
+        let host = pool.hosts.entry(to.server).or_insert(Kept { address: to.address, idle: Vec::new() });
+        if host.address != to.address {
+            *host = Kept { address: to.address, idle: Vec::new() };
+        }
+    }
+
+    fn retire(&self, server: ServerId) {
+        self.0.borrow_mut().hosts.remove(&server);
+    }
+
+    fn sweep(&self) {
+        let mut pool = self.0.borrow_mut();
+        let keep = pool.config.conn_idle.mul_f64(IDLE_PART);
+        pool.hosts.values_mut().for_each(|host| host.idle.retain(|(since, _)| since.elapsed() < keep));
+    }
+
+    fn reload(&self, config: &Rc<Config>) {
+        self.0.borrow_mut().config = config.clone();
+    }
+
+    fn connections(&self) -> Connections {
+        let pool = self.0.borrow();
+        let idle = pool.hosts.values().map(|host| host.idle.len()).sum();
+        Connections { open: Rc::strong_count(&pool.slots) - 1, idle, ..pool.counts }
+    }
+}
--- a/engine/src/socket.rs
+++ b/engine/src/socket.rs
@@ -1,6 +1,7 @@
 //! A TCP stream that hyper's task and the connection's owner share. The owner can close it at once, whatever that
 //! task does, can look at what has come and was not read, and knows what was written and read.
 
+use crate::protocol::Meter;
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
@@ -13,9 +14,6 @@
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
-/// Bytes that were written for one attempt: none means that no host can have seen it.
-pub type Meter = Rc<Cell<usize>>;
-
 #[derive(Debug)]
 struct Inner {
     /// `None`: closed by its owner.
--- /dev/null
+++ b/engine/src/state.rs
@@ -0,0 +1,43 @@
+//! What the engine shows of itself, as of one moment.
+
+use crate::discovery::Health;
+use crate::protocol::Connections;
+use nettleworks_policy::Outcome;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// A host of the list.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HostState {
+    /// Its name in the list.
+    pub name: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// What the list says of it.
+    pub health: Health,
+    /// Attempts that are out to it.
+    pub attempts: usize,
+}
+
+/// The engine at one moment.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct State {
+    /// Whether a list of hosts is in hand.
+    pub ready: bool,
+    /// Version of that list.
+    pub version: Option<u64>,
+    /// Its hosts, in the order of their names.
+    pub hosts: Vec<HostState>,
+    /// Calls that are open, or over with an attempt still out.
+    pub calls: usize,
+    /// Ids that no new call may have.
+    pub ids: usize,
+    /// Connections to hosts.
+    pub connections: Connections,
+    /// Calls taken so far.
+    pub requests: u64,
+    /// Attempts sent so far.
+    pub attempts: u64,
+    /// How attempts have ended so far.
+    pub outcomes: BTreeMap<Outcome, u64>,
+}
--- a/proxy/src/lib.rs
+++ b/proxy/src/lib.rs
@@ -1,14 +1,17 @@
 //! nettleworks is a client proxy: it takes an application's requests and passes each to a host of a fleet, as
-//! the decision module `nettleworks_policy` says.
+//! the decision module `nettleworks_policy` says. This is its HTTP front; the engine is `nettleworks_engine`.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
-mod requests;
+pub mod requests;
 pub mod server;
 
-use config::Config;
-pub use nettleworks_engine::{config, discovery, driver, upstream};
-use nettleworks_engine::{log, socket};
+pub use nettleworks_engine::config;
+
+use nettleworks_engine::config::Config;
+use nettleworks_engine::driver::Handle;
+use nettleworks_engine::http1::Http1;
+use nettleworks_engine::Log;
 use std::future::Future;
 use std::rc::Rc;
 use tokio::net::TcpListener;
@@ -17,17 +20,19 @@
 /// time there is one, and `None` when none will come. Runs inside a [`tokio::task::LocalSet`].
 pub async fn run(
     config: Config,
+    log: Log,
     listener: TcpListener,
     mut reload: impl AsyncFnMut() -> Option<Result<Config, String>>,
     stop: impl Future<Output = ()>,
 ) {
-    let driver = driver::Handle::start(Rc::new(config));
+    let config = Rc::new(config);
+    let driver = Handle::start(config.clone(), Http1::new(&config), log);
     let reloads = async {
         while let Some(config) = reload().await {
             match config {
                 Ok(config) => driver.reload(config),
                 // A broken file must not end what serves well with the one before.
-                Err(reason) => log(&format!("configuration kept: {}", reason.replace('\n', " "))),
+                Err(reason) => driver.log(&format!("configuration kept: {}", reason.replace('\n', " "))),
             }
         }
         std::future::pending().await
--- a/proxy/src/main.rs
+++ b/proxy/src/main.rs
@@ -37,7 +37,7 @@
             hangup.recv().await?;
             Some(Config::load(path))
         };
-        nettleworks::run(config, listener, reload, stop).await;
+        nettleworks::run(config, nettleworks_engine::log_to_stderr(), listener, reload, stop).await;
         // What is left are tasks without a client: the watch, idle connections.
         Ok(())
     })
--- a/proxy/src/requests.rs
+++ b/proxy/src/requests.rs
@@ -1,12 +1,14 @@
 //! What a client's request says and whether it can be used, and the answers that clients get.
 
-use crate::driver::{Ask, Forward, Handle, Reply};
-use crate::socket::Socket;
-use crate::upstream::BODY_MOST;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Bytes, Incoming};
 use hyper::header::{self, HeaderMap, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode, Uri};
+use nettleworks_engine::calls::{Ask, Reply};
+use nettleworks_engine::config::Config;
+use nettleworks_engine::driver::Handle;
+use nettleworks_engine::http1::{Forward, Http1, BODY_MOST};
+use nettleworks_engine::socket::Socket;
 use nettleworks_policy::{ClassId, Repeat, TenantId};
 use std::time::Duration;
 use tokio::task::spawn_local;
@@ -19,6 +21,9 @@
 const DRAIN_MOST: usize = 1 << 20;
 const DRAIN_TIME: Duration = Duration::from_millis(500);
 
+/// The driver that this front brings its requests to.
+pub type Driver = Handle<Http1>;
+
 /// An answer to a client.
 pub type Answer = Response<Full<Bytes>>;
 
@@ -32,18 +37,16 @@
 }
 
 /// Gives a request its one answer.
-pub async fn answer(driver: Handle, request: Request<Incoming>, arrival: Arrival) -> Answer {
+pub async fn answer(driver: Driver, request: Request<Incoming>, arrival: Arrival) -> Answer {
     match request.uri().path() {
         "/_health" if driver.is_ready() => plain(StatusCode::OK),
         "/_health" => plain(StatusCode::SERVICE_UNAVAILABLE),
         "/api" => match take_in(&driver, request, arrival).await {
-            Ok((ask, forward)) => match driver.request(ask, forward) {
-                Some(waiting) => match waiting.reply().await {
-                    Reply::Served(answer) => served(answer),
-                    Reply::Refused(after) => refused(after),
-                    Reply::Failed => plain(StatusCode::BAD_GATEWAY),
-                },
-                None => unusable(StatusCode::CONFLICT),
+            Ok((ask, forward)) => match driver.request(ask, forward).reply().await {
+                Reply::Served(answer) => served(answer),
+                Reply::Refused(after) => refused(after),
+                Reply::Failed => plain(StatusCode::BAD_GATEWAY),
+                Reply::IdOpen => unusable(StatusCode::CONFLICT),
             },
             Err(status) => unusable(status),
         },
@@ -56,13 +59,13 @@
 
 /// Reads a request whole. What cannot be used is turned away with a status; the module never sees it.
 async fn take_in(
-    driver: &Handle,
+    driver: &Driver,
     request: Request<Incoming>,
     arrival: Arrival,
-) -> Result<(Ask, Forward), StatusCode> {
+) -> Result<(Ask<HeaderValue>, Forward), StatusCode> {
     let (head, body) = request.into_parts();
     let large = body.size_hint().lower() > BODY_MOST as u64;
-    let (mut ask, budget) = match ask(driver, &head.method, &head.headers, body.is_end_stream()) {
+    let (mut ask, budget) = match ask(&driver.config(), &head.method, &head.headers, body.is_end_stream()) {
         Ok(_) if large => {
             drain(body);
             return Err(StatusCode::PAYLOAD_TOO_LARGE);
@@ -96,23 +99,27 @@
 }
 
 /// What a head says, and the client's time. A status if it says too little, or two things.
-fn ask(
-    driver: &Handle,
+pub fn ask(
+    config: &Config,
     method: &Method,
     headers: &HeaderMap,
     empty: bool,
-) -> Result<(Ask, Duration), StatusCode> {
+) -> Result<(Ask<HeaderValue>, Duration), StatusCode> {
     // Beside a length it may hide a second request in the body, and the length is no longer there to be seen:
     // hyper drops it. No client of ours needs it.
     if headers.contains_key(header::TRANSFER_ENCODING) {
         return Err(StatusCode::LENGTH_REQUIRED);
     }
-    usable(driver, method, headers, empty).ok_or(StatusCode::BAD_REQUEST)
+    usable(config, method, headers, empty).ok_or(StatusCode::BAD_REQUEST)
 }
 
 /// `None` if the id, class or budget is missing, double or unusable, or the request is not of its class's form.
-fn usable(driver: &Handle, method: &Method, headers: &HeaderMap, empty: bool) -> Option<(Ask, Duration)> {
-    let config = driver.config();
+fn usable(
+    config: &Config,
+    method: &Method,
+    headers: &HeaderMap,
+    empty: bool,
+) -> Option<(Ask<HeaderValue>, Duration)> {
     single(headers, "x-call-id").filter(|id| !id.is_empty())?;
     let id = headers.get("x-call-id")?.clone();
     let class = place(&config.classes, single(headers, "x-call-class")?)?;
@@ -147,7 +154,7 @@
 }
 
 /// Headers that go on to the other side: all but those of this connection and its framing.
-fn end_to_end(mut headers: HeaderMap) -> HeaderMap {
+pub fn end_to_end(mut headers: HeaderMap) -> HeaderMap {
     let named = headers.get_all(header::CONNECTION).iter().filter_map(|value| value.to_str().ok());
     let named: Vec<String> = named.flat_map(|v| v.split(',')).map(|name| name.trim().to_owned()).collect();
     let fixed = ["connection", "content-length", "expect", "keep-alive", "proxy-connection", "te", "trailer"];
--- a/proxy/src/server.rs
+++ b/proxy/src/server.rs
@@ -1,14 +1,12 @@
 //! The application's connections: takes them in, closes those that are due or in the way, and stops.
 
-use crate::driver::Handle;
-use crate::log;
-use crate::requests::{answer, Arrival};
-use crate::socket::Socket;
-use crate::upstream::HEAD_MOST;
+use crate::requests::{answer, Arrival, Driver};
 use hyper::header::{self, HeaderValue};
 use hyper::service::service_fn;
 use hyper_util::rt::TokioTimer;
 use hyper_util::server::graceful::GracefulShutdown;
+use nettleworks_engine::http1::HEAD_MOST;
+use nettleworks_engine::socket::Socket;
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::future::Future;
@@ -54,7 +52,7 @@
 
 /// Serves until `stop` is done, then goes on for as long as new connections may come, then closes connections
 /// between requests and returns when none is left.
-pub async fn serve(listener: TcpListener, driver: Handle, stop: impl Future<Output = ()>) {
+pub async fn serve(listener: TcpListener, driver: Driver, stop: impl Future<Output = ()>) {
     let mut clients =
         Clients { driver, graceful: GracefulShutdown::new(), open: Vec::new(), crowded: Rc::default() };
     let mut stop = pin!(async {
@@ -73,7 +71,7 @@
                     yield_now().await;
                 }
                 Err(error) => {
-                    log(&format!("accept: {error}"));
+                    clients.driver.log(&format!("accept: {error}"));
                     clients.evict();
                     sleep(ACCEPT_PAUSE).await;
                 }
@@ -158,7 +156,7 @@
 
 /// The connections of clients.
 struct Clients {
-    driver: Handle,
+    driver: Driver,
     graceful: GracefulShutdown,
     open: Vec<Client>,
     /// More are open than half of what clients may hold for requests.
@@ -208,7 +206,7 @@
 
     fn serve(&mut self, stream: TcpStream) {
         if let Err(error) = stream.set_nodelay(true) {
-            log(&format!("nodelay: {error}"));
+            self.driver.log(&format!("nodelay: {error}"));
         }
         let socket = Socket::new(stream);
         let phase = Rc::new(Cell::new(Phase::New(Instant::now())));
--- a/proxy/tests/common/mod.rs
+++ b/proxy/tests/common/mod.rs
@@ -303,9 +303,15 @@
         let listener = nettleworks::server::listen(config.listen).expect("it listens");
         let address = listener.local_addr().expect("an address");
         let (stop, stopped) = oneshot::channel();
-        let task = spawn_local(nettleworks::run(config, listener, async || None, async {
-            let _ = stopped.await;
-        }));
+        let task = spawn_local(nettleworks::run(
+            config,
+            nettleworks_engine::log_to_stderr(),
+            listener,
+            async || None,
+            async {
+                let _ = stopped.await;
+            },
+        ));
         Proxy { address, stop: Some(stop), task }
     }
 
