Make the tests' hosts, discovery and clients a package, and their suite one for every form

Need: the only stand-ins were a test file, bound to one package; ISO 8583, SPIFFE and the library need them too.

Change: standins/ holds scripted and seeded hosts (stall, reset before and after reading, turn away, answer twice, garble, cut short, slow cold start, kill and restart), discovery scripted or with a list of its own, clients and a load, and a ledger of effects by call and key. The daemon's tests are a suite with unchanged bodies that runs in process and against the program, which now says where it serves. 'demo' plays a small fleet for 15 s.

--- a/engine/src/driver.rs
+++ b/engine/src/driver.rs
@@ -183,6 +183,11 @@
         self.0.borrow().listed
     }
 
+    /// How many calls wait for their answer.
+    pub fn waiting(&self) -> usize {
+        self.0.borrow().calls.values().filter(|call| call.caller.is_some()).count()
+    }
+
     /// The configuration.
     pub fn config(&self) -> Rc<Config> {
         self.0.borrow().config.clone()
--- a/proxy/src/main.rs
+++ b/proxy/src/main.rs
@@ -30,6 +30,10 @@
         let mut hangup = signal(SignalKind::hangup()).map_err(|e| e.to_string())?;
         let config = Config::load(path)?;
         let listener = server::listen(config.listen).map_err(|e| format!("{}: {e}", config.listen))?;
+        let log = nettleworks_engine::log_to_stderr();
+        // Port 0 is any that is free.
+        let address = listener.local_addr().map_err(|e| e.to_string())?;
+        log(&format!("serving at {address}"));
         let stop = async move {
             terminate.recv().await;
         };
@@ -37,7 +41,7 @@
             hangup.recv().await?;
             Some(Config::load(path))
         };
-        nettleworks::run(config, nettleworks_engine::log_to_stderr(), listener, reload, stop).await;
+        nettleworks::run(config, log, listener, reload, stop).await;
         // What is left are tasks without a client: the watch, idle connections.
         Ok(())
     })
--- a/proxy/src/requests.rs
+++ b/proxy/src/requests.rs
@@ -1,23 +1,24 @@
 //! What a client's request says and whether it can be used, and the answers that clients get.
 
+use http::request::Parts;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::body::{Body, Bytes, Incoming};
+use hyper::body::{Body, Buf, Bytes, Incoming};
 use hyper::header::{self, HeaderMap, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode, Uri};
 use nettleworks_engine::calls::{Ask, Reply};
 use nettleworks_engine::config::Config;
 use nettleworks_engine::driver::Handle;
-use nettleworks_engine::http1::{Forward, Http1, BODY_MOST};
+use nettleworks_engine::http1::{BoxError, Forward, Http1, BODY_MOST};
 use nettleworks_engine::socket::Socket;
 use nettleworks_policy::{ClassId, Repeat, TenantId};
+use std::pin::pin;
 use std::time::Duration;
 use tokio::task::spawn_local;
 use tokio::time::{timeout, timeout_at, Instant};
 
 /// The part of a client's time that is kept for the answer's way back.
 const WAY_BACK: Duration = Duration::from_millis(10);
-/// What is still read of a body that is turned away, and for how long: closing on a client that is sending would
-/// reset the connection, and the answer might be lost with it.
+/// What is still read of a body that is turned away, and for how long.
 const DRAIN_MOST: usize = 1 << 20;
 const DRAIN_TIME: Duration = Duration::from_millis(500);
 
@@ -41,64 +42,95 @@
     match request.uri().path() {
         "/_health" if driver.is_ready() => plain(StatusCode::OK),
         "/_health" => plain(StatusCode::SERVICE_UNAVAILABLE),
-        "/api" => match take_in(&driver, request, arrival).await {
-            Ok((ask, forward)) => match driver.request(ask, forward).reply().await {
-                Reply::Served(answer) => served(answer),
-                Reply::Refused(after) => refused(after),
-                Reply::Failed => plain(StatusCode::BAD_GATEWAY),
-                Reply::IdOpen => unusable(StatusCode::CONFLICT),
-            },
-            Err(status) => unusable(status),
-        },
+        "/api" => {
+            let socket = arrival.socket;
+            match take_in(&driver.config(), request, arrival.whole_by, || socket.read_at()).await {
+                Ok((ask, forward)) => answered(driver.request(ask, forward).reply().await),
+                Err(turned) => {
+                    if let Some(rest) = turned.rest {
+                        spawn_local(drain(rest));
+                    }
+                    unusable(turned.status)
+                }
+            }
+        }
         _ => {
-            drain(request.into_body());
+            spawn_local(drain(request.into_body()));
             unusable(StatusCode::NOT_FOUND)
         }
     }
 }
 
-/// Reads a request whole. What cannot be used is turned away with a status; the module never sees it.
-async fn take_in(
-    driver: &Driver,
-    request: Request<Incoming>,
-    arrival: Arrival,
-) -> Result<(Ask<HeaderValue>, Forward), StatusCode> {
+/// A request that is turned away; the module never sees it.
+#[derive(Debug)]
+pub struct TurnedAway<B> {
+    /// What its client is told.
+    pub status: StatusCode,
+    /// What has not been read of it: to be read on for a while, see [`drain`].
+    pub rest: Option<B>,
+}
+
+impl<B> TurnedAway<B> {
+    fn unread(status: StatusCode, rest: B) -> Self {
+        TurnedAway { status, rest: Some(rest) }
+    }
+}
+
+/// Reads a request whole: its body must be there by `whole_by` and hold [`BODY_MOST`] bytes at most. Its client's
+/// time runs from `read_at`, asked when it is whole. What cannot be used is turned away with a status.
+pub async fn take_in<B>(
+    config: &Config,
+    request: Request<B>,
+    whole_by: Instant,
+    read_at: impl FnOnce() -> Instant,
+) -> Result<(Ask<HeaderValue>, Forward), TurnedAway<B>>
+where
+    B: Body<Data = Bytes>,
+    B::Error: Into<BoxError>,
+{
     let (head, body) = request.into_parts();
     let large = body.size_hint().lower() > BODY_MOST as u64;
-    let (mut ask, budget) = match ask(&driver.config(), &head.method, &head.headers, body.is_end_stream()) {
-        Ok(_) if large => {
-            drain(body);
-            return Err(StatusCode::PAYLOAD_TOO_LARGE);
-        }
+    let (mut ask, budget) = match ask(config, &head.method, &head.headers, body.is_end_stream()) {
+        Ok(_) if large => return Err(TurnedAway::unread(StatusCode::PAYLOAD_TOO_LARGE, body)),
         Ok(usable) => usable,
-        Err(status) => {
-            drain(body);
-            return Err(status);
-        }
+        Err(status) => return Err(TurnedAway::unread(status, body)),
     };
-    let body = match timeout_at(arrival.whole_by, Limited::new(body, BODY_MOST).collect()).await {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => return Err(StatusCode::PAYLOAD_TOO_LARGE),
-        Ok(Err(_)) => return Err(StatusCode::BAD_REQUEST),
-        Err(_) => return Err(StatusCode::REQUEST_TIMEOUT),
+    let status = match timeout_at(whole_by, Limited::new(body, BODY_MOST).collect()).await {
+        Ok(Ok(body)) => {
+            ask.deadline = read_at() + budget.saturating_sub(WAY_BACK);
+            return Ok((ask, forward(head, body.to_bytes())));
+        }
+        Ok(Err(error)) if error.is::<LengthLimitError>() => StatusCode::PAYLOAD_TOO_LARGE,
+        Ok(Err(_)) => StatusCode::BAD_REQUEST,
+        Err(_) => StatusCode::REQUEST_TIMEOUT,
     };
-    ask.deadline = arrival.socket.read_at() + budget.saturating_sub(WAY_BACK);
+    Err(TurnedAway { status, rest: None })
+}
+
+/// What goes on to hosts of a request that can be used.
+pub fn forward(head: Parts, body: Bytes) -> Forward {
     let target = head.uri.path_and_query().cloned().map(Uri::from).unwrap_or_default();
-    let forward = Forward { method: head.method, target, headers: end_to_end(head.headers), body };
-    Ok((ask, forward))
+    Forward { method: head.method, target, headers: end_to_end(head.headers), body }
 }
 
-/// Reads on and throws away, within bounds.
-fn drain(body: Incoming) {
+/// Reads on and throws away, within bounds: closing on a client that is sending would reset the connection, and the
+/// answer might be lost with it.
+pub async fn drain<B: Body>(body: B) {
     if !body.is_end_stream() {
-        spawn_local(timeout(DRAIN_TIME, async {
-            let mut body = Limited::new(body, DRAIN_MOST);
-            while let Some(Ok(_)) = body.frame().await {}
-        }));
+        let rest = async {
+            let mut body = pin!(body);
+            let mut read = 0;
+            while read < DRAIN_MOST {
+                let Some(Ok(frame)) = body.as_mut().frame().await else { break };
+                read += frame.data_ref().map_or(0, Buf::remaining);
+            }
+        };
+        let _ = timeout(DRAIN_TIME, rest).await;
     }
 }
 
-/// What a head says, and the client's time. A status if it says too little, or two things.
+/// What a head says, and the client's time in all, from now on. A status if it says too little, or two things.
+/// `empty`: there is no body.
 pub fn ask(
     config: &Config,
     method: &Method,
@@ -153,6 +185,16 @@
     values.next().filter(|_| values.next().is_none())?.to_str().ok()
 }
 
+/// The answer that a client gets for a reply.
+pub fn answered(reply: Reply<Response<Bytes>>) -> Answer {
+    match reply {
+        Reply::Served(answer) => served(answer).map(Full::new),
+        Reply::Refused(after) => refused(after),
+        Reply::Failed => plain(StatusCode::BAD_GATEWAY),
+        Reply::IdOpen => unusable(StatusCode::CONFLICT),
+    }
+}
+
 /// Headers that go on to the other side: all but those of this connection and its framing.
 pub fn end_to_end(mut headers: HeaderMap) -> HeaderMap {
     let named = headers.get_all(header::CONNECTION).iter().filter_map(|value| value.to_str().ok());
@@ -165,13 +207,15 @@
     headers
 }
 
-fn served(answer: Response<Bytes>) -> Answer {
+/// A host's answer without what belongs to the host's connection.
+pub fn served(answer: Response<Bytes>) -> Response<Bytes> {
     let (mut head, body) = answer.into_parts();
     head.headers = end_to_end(head.headers);
-    Response::from_parts(head, Full::new(body))
+    Response::from_parts(head, body)
 }
 
-fn refused(after: Duration) -> Answer {
+/// Turned away unharmed; the client may come again after this time.
+pub fn refused(after: Duration) -> Answer {
     let mut answer = plain(StatusCode::SERVICE_UNAVAILABLE);
     let seconds = format!("{:.3}", after.as_secs_f64());
     answer
@@ -181,13 +225,14 @@
 }
 
 /// Turned away for good, and with it the connection: what else came on it might be read as a request.
-fn unusable(status: StatusCode) -> Answer {
+pub fn unusable(status: StatusCode) -> Answer {
     let mut answer = plain(status);
     answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     answer
 }
 
-fn plain(status: StatusCode) -> Answer {
+/// An answer of a status alone.
+pub fn plain(status: StatusCode) -> Answer {
     let mut answer = Response::new(Full::default());
     *answer.status_mut() = status;
     answer
--- a/proxy/src/server.rs
+++ b/proxy/src/server.rs
@@ -27,7 +27,7 @@
 const STOP_MOST: Duration = Duration::from_secs(3);
 /// Time for a whole request, however it trickles: from its connection's start, or from its own first byte.
 /// Clients are owed an answer or a close within 3 s.
-const WHOLE_TIME: Duration = Duration::from_millis(2_500);
+pub const WHOLE_TIME: Duration = Duration::from_millis(2_500);
 /// How long a connection is kept on which no request is open. Clients may keep theirs for good and never use
 /// them again; those that do use them come back far sooner.
 const IDLE_MOST: Duration = Duration::from_secs(30);
--- /dev/null
+++ b/proxy/tests/inside.rs
@@ -0,0 +1,10 @@
+//! The suite against the daemon's front and driver on the test's own thread.
+
+mod form {
+    pub use nettleworks_standins::*;
+    pub type Proxy = nettleworks_standins::Proxy<Inside>;
+}
+
+#[path = "suite/listening.rs"]
+mod listening;
+mod suite;
--- a/proxy/tests/process.rs
+++ b/proxy/tests/process.rs
@@ -1,8 +1,6 @@
 //! The program's start and stop.
 
-mod common;
-
-use common::*;
+use nettleworks_standins::*;
 use std::io::{BufRead, BufReader, Read};
 use std::process::{Command, Stdio};
 use std::slice::from_ref;
@@ -10,28 +8,6 @@
 use tokio::net::TcpStream;
 use tokio::time::sleep;
 
-/// A stop must answer all that was taken, take new connections for as long as they come, and close the rest.
-#[test]
-fn a_stop_answers_what_was_taken() {
-    run(async {
-        let host = Host::start([ok("before"), Act::Stall, ok("after")]).await;
-        let mut proxy = Proxy::start(from_ref(&host)).await;
-        let (mut idle, mut busy) = (proxy.client().await, proxy.client().await);
-        let mut half = proxy.client().await;
-        assert_eq!(idle.ask(&request("unsafe", "", "")).await.body, b"before");
-        busy.send(&request("unsafe", "", "").replace("8000", "1500")).await;
-        half.send("POST /api HTTP/1.1\r\nX-Call").await;
-        eventually("the host has it", || host.count() == 2).await;
-        drop(proxy.stop.take());
-        let mut late = proxy.client().await;
-        assert_eq!(late.ask(&request("unsafe", "", "")).await.body, b"after");
-        assert_eq!(busy.message().await.expect("an answer").status(), 502);
-        (&mut proxy.task).await.expect("it ends without a panic");
-        assert!(idle.message().await.is_none(), "closed between requests");
-        assert!(TcpStream::connect(proxy.address).await.is_err(), "it no longer listens");
-    });
-}
-
 /// A proxy that was killed leaves connections at its address; the next one must start there at once.
 #[test]
 fn the_address_can_be_used_again_at_once() {
--- /dev/null
+++ b/proxy/tests/program.rs
@@ -0,0 +1,18 @@
+//! The suite against the program, a process of its own.
+
+mod form {
+    pub use nettleworks_standins::*;
+
+    pub struct Daemon;
+
+    impl Program for Daemon {
+        const PATH: &'static str = env!("CARGO_BIN_EXE_nettleworks");
+        const SCRATCH: &'static str = env!("CARGO_TARGET_TMPDIR");
+    }
+
+    pub type Proxy = nettleworks_standins::Proxy<Daemon>;
+}
+
+#[path = "suite/listening.rs"]
+mod listening;
+mod suite;
--- a/proxy/tests/discovery.rs
+++ b/proxy/tests/suite/discovery.rs
@@ -1,8 +1,6 @@
 //! The list of hosts as it comes over a watch.
 
-mod common;
-
-use common::*;
+use crate::form::*;
 use std::slice::from_ref;
 
 const NONE: fn(&mut serde_json::Value) = |config| config["known"]["hosts"] = serde_json::json!([]);
--- a/proxy/tests/hosts.rs
+++ b/proxy/tests/suite/hosts.rs
@@ -1,8 +1,6 @@
 //! Connections to hosts: kept, given up, withdrawn.
 
-mod common;
-
-use common::*;
+use crate::form::*;
 use std::slice::from_ref;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
--- /dev/null
+++ b/proxy/tests/suite/listening.rs
@@ -0,0 +1,125 @@
+//! What belongs to the listening side: slow, silent and idle connections, and the stop. It runs on the forms that
+//! listen by themselves, the program and `fleet.serve`; in an application these are its own server's.
+
+use crate::form::*;
+use std::slice::from_ref;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+
+/// Whoever says nothing, too little or too slowly holds a place: it is closed within the 3 s that it is owed.
+#[test]
+fn silent_and_slow_clients_are_closed() {
+    run(async {
+        let host = Host::start([ok("served")]).await;
+        let proxy = Proxy::start(from_ref(&host)).await;
+        let head = request("unsafe", "", "the body");
+        let (mut silent, mut half, mut body) =
+            (proxy.client().await, proxy.client().await, proxy.client().await);
+        half.send(&head[..30]).await;
+        body.send(&head[..head.len() - 2]).await;
+        // One whose second request trickles: each byte must not begin its time anew.
+        let mut slow = proxy.client().await;
+        assert_eq!(slow.ask(&request("unsafe", "", "")).await.status(), 200);
+        let trickle = async {
+            for byte in head.as_bytes().chunks(1).cycle() {
+                if slow.stream.write_all(byte).await.is_err() {
+                    break;
+                }
+                tokio::time::sleep(std::time::Duration::from_millis(100)).await;
+            }
+        };
+        let rest = async {
+            assert!(silent.message().await.is_none());
+            assert!(half.message().await.is_none());
+            assert_eq!(body.message().await.map(|answer| answer.status()), Some(408));
+        };
+        tokio::join!(trickle, rest);
+        assert_eq!(host.count(), 1);
+    });
+}
+
+/// Clients that ask once and keep their connections for good must not fill the places: while many are open, one
+/// that has asked for the first time is closed with its answer.
+#[test]
+fn idle_connections_are_closed_while_many_are_open() {
+    run(async {
+        let host = Host::start([ok("served")]).await;
+        let proxy = Proxy::with(&Discovery::quiet().await, &[host], |config| {
+            config["limits"]["sockets"] = 64.into();
+        })
+        .await;
+        let mut clients = Vec::new();
+        let mut closed = 0;
+        // A sixth of 64 descriptors are kept.
+        for _ in 0..15 {
+            let mut client = proxy.client().await;
+            let answer = client.ask(&request("free", "", "")).await;
+            assert_eq!(answer.status(), 200);
+            closed += usize::from(answer.header("connection") == Some("close"));
+            clients.push(client);
+        }
+        assert!((1..=6).contains(&closed), "{closed}");
+        let left = |client: &Client| client.stream.try_read(&mut [0]).is_ok_and(|count| count == 0);
+        eventually("they are closed", || clients.iter().filter(|client| left(client)).count() == closed)
+            .await;
+        assert_eq!(clients[0].ask(&request("free", "", "")).await.status(), 200, "the others are kept");
+    });
+}
+
+/// At the limit those that never asked make room first, and one that has just been answered keeps its connection.
+#[test]
+fn clients_that_ask_keep_their_connections() {
+    run(async {
+        let host = Host::start([ok("served")]).await;
+        let proxy = Proxy::with(&Discovery::quiet().await, &[host], |config| {
+            config["limits"]["sockets"] = 64.into();
+        })
+        .await;
+        let mut usual = proxy.client().await;
+        assert_eq!(usual.ask(&request("free", "", "")).await.status(), 200);
+        let mut silent = Vec::new();
+        for _ in 0..100 {
+            silent.push(proxy.client().await);
+            assert_eq!(usual.ask(&request("free", "", "")).await.status(), 200);
+        }
+    });
+}
+
+/// Clients that connect and say nothing must not keep others out, nor cost more descriptors than there are.
+#[test]
+fn silent_connections_do_not_keep_others_out() {
+    run(async {
+        let host = Host::start([ok("served")]).await;
+        let proxy = Proxy::with(&Discovery::quiet().await, &[host], |config| {
+            config["limits"]["sockets"] = 64.into();
+        })
+        .await;
+        let mut silent = Vec::new();
+        for _ in 0..40 {
+            silent.push(proxy.client().await);
+        }
+        assert_eq!(proxy.client().await.ask(&request("free", "", "")).await.status(), 200);
+    });
+}
+
+/// A stop must answer all that was taken, take new connections for as long as they come, and close the rest.
+#[test]
+fn a_stop_answers_what_was_taken() {
+    run(async {
+        let host = Host::start([ok("before"), Act::Stall, ok("after")]).await;
+        let mut proxy = Proxy::start(from_ref(&host)).await;
+        let (mut idle, mut busy) = (proxy.client().await, proxy.client().await);
+        let mut half = proxy.client().await;
+        assert_eq!(idle.ask(&request("unsafe", "", "")).await.body, b"before");
+        busy.send(&request("unsafe", "", "").replace("8000", "1500")).await;
+        half.send("POST /api HTTP/1.1\r\nX-Call").await;
+        eventually("the host has it", || host.count() == 2).await;
+        drop(proxy.stop.take());
+        let mut late = proxy.client().await;
+        assert_eq!(late.ask(&request("unsafe", "", "")).await.body, b"after");
+        assert_eq!(busy.message().await.expect("an answer").status(), 502);
+        (&mut proxy.task).await.expect("it ends without a panic");
+        assert!(idle.message().await.is_none(), "closed between requests");
+        assert!(TcpStream::connect(proxy.address).await.is_err(), "it no longer listens");
+    });
+}
--- a/proxy/tests/requests.rs
+++ b/proxy/tests/suite/requests.rs
@@ -1,8 +1,6 @@
 //! What the application meets: requests that are served, refused, failed or unusable.
 
-mod common;
-
-use common::*;
+use crate::form::*;
 use std::slice::from_ref;
 use tokio::io::AsyncWriteExt;
 
@@ -106,85 +104,6 @@
     });
 }
 
-/// Whoever says nothing, too little or too slowly holds a place: it is closed within the 3 s that it is owed.
-#[test]
-fn silent_and_slow_clients_are_closed() {
-    run(async {
-        let host = Host::start([ok("served")]).await;
-        let proxy = Proxy::start(from_ref(&host)).await;
-        let head = request("unsafe", "", "the body");
-        let (mut silent, mut half, mut body) =
-            (proxy.client().await, proxy.client().await, proxy.client().await);
-        half.send(&head[..30]).await;
-        body.send(&head[..head.len() - 2]).await;
-        // One whose second request trickles: each byte must not begin its time anew.
-        let mut slow = proxy.client().await;
-        assert_eq!(slow.ask(&request("unsafe", "", "")).await.status(), 200);
-        let trickle = async {
-            for byte in head.as_bytes().chunks(1).cycle() {
-                if slow.stream.write_all(byte).await.is_err() {
-                    break;
-                }
-                tokio::time::sleep(std::time::Duration::from_millis(100)).await;
-            }
-        };
-        let rest = async {
-            assert!(silent.message().await.is_none());
-            assert!(half.message().await.is_none());
-            assert_eq!(body.message().await.map(|answer| answer.status()), Some(408));
-        };
-        tokio::join!(trickle, rest);
-        assert_eq!(host.count(), 1);
-    });
-}
-
-/// Clients that ask once and keep their connections for good must not fill the places: while many are open, one
-/// that has asked for the first time is closed with its answer.
-#[test]
-fn idle_connections_are_closed_while_many_are_open() {
-    run(async {
-        let host = Host::start([ok("served")]).await;
-        let proxy = Proxy::with(&Discovery::quiet().await, &[host], |config| {
-            config["limits"]["sockets"] = 64.into();
-        })
-        .await;
-        let mut clients = Vec::new();
-        let mut closed = 0;
-        // A sixth of 64 descriptors are kept.
-        for _ in 0..15 {
-            let mut client = proxy.client().await;
-            let answer = client.ask(&request("free", "", "")).await;
-            assert_eq!(answer.status(), 200);
-            closed += usize::from(answer.header("connection") == Some("close"));
-            clients.push(client);
-        }
-        assert!((1..=6).contains(&closed), "{closed}");
-        let left = |client: &Client| client.stream.try_read(&mut [0]).is_ok_and(|count| count == 0);
-        eventually("they are closed", || clients.iter().filter(|client| left(client)).count() == closed)
-            .await;
-        assert_eq!(clients[0].ask(&request("free", "", "")).await.status(), 200, "the others are kept");
-    });
-}
-
-/// At the limit those that never asked make room first, and one that has just been answered keeps its connection.
-#[test]
-fn clients_that_ask_keep_their_connections() {
-    run(async {
-        let host = Host::start([ok("served")]).await;
-        let proxy = Proxy::with(&Discovery::quiet().await, &[host], |config| {
-            config["limits"]["sockets"] = 64.into();
-        })
-        .await;
-        let mut usual = proxy.client().await;
-        assert_eq!(usual.ask(&request("free", "", "")).await.status(), 200);
-        let mut silent = Vec::new();
-        for _ in 0..100 {
-            silent.push(proxy.client().await);
-            assert_eq!(usual.ask(&request("free", "", "")).await.status(), 200);
-        }
-    });
-}
-
 /// An unsafe request that may have run must not be sent again, nor refused as if it had not.
 #[test]
 fn an_unsafe_request_that_may_have_run_fails() {
@@ -283,20 +202,3 @@
         eventually("the attempt's connection closes", || host.open.get() == 0).await;
     });
 }
-
-/// Clients that connect and say nothing must not keep others out, nor cost more descriptors than there are.
-#[test]
-fn silent_connections_do_not_keep_others_out() {
-    run(async {
-        let host = Host::start([ok("served")]).await;
-        let proxy = Proxy::with(&Discovery::quiet().await, &[host], |config| {
-            config["limits"]["sockets"] = 64.into();
-        })
-        .await;
-        let mut silent = Vec::new();
-        for _ in 0..40 {
-            silent.push(proxy.client().await);
-        }
-        assert_eq!(proxy.client().await.ask(&request("free", "", "")).await.status(), 200);
-    });
-}
--- /dev/null
+++ b/standins/src/client.rs
@@ -0,0 +1,41 @@
+//! A client's connection, and requests as text.
+
+use crate::message::{Message, Reader};
+use std::sync::atomic::{AtomicU64, Ordering};
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+
+/// A client's connection.
+pub type Client = Reader<TcpStream>;
+
+/// Asks whether a proxy is ready.
+pub const HEALTH: &str = "GET /_health HTTP/1.1\r\n\r\n";
+
+/// A request of a class, with further header lines and a body. Each has an id of its own.
+pub fn request(class: &str, more: &str, body: &str) -> String {
+    static IDS: AtomicU64 = AtomicU64::new(0);
+    let (id, length) = (IDS.fetch_add(1, Ordering::Relaxed), body.len());
+    let (method, key) = match class {
+        "free" => ("GET", String::new()),
+        "keyed" if !more.contains("Idempotency-Key") => ("POST", format!("Idempotency-Key: k{id}\r\n")),
+        _ => ("POST", String::new()),
+    };
+    let length = if body.is_empty() { String::new() } else { format!("Content-Length: {length}\r\n") };
+    format!(
+        "{method} /api HTTP/1.1\r\nHost: api.internal\r\nX-Call-Id: {id:016x}\r\nX-Call-Class: {class}\r\n\
+         X-Budget-Ms: 8000\r\n{key}{more}{length}\r\n{body}"
+    )
+}
+
+impl Client {
+    /// Writes text as it is.
+    pub async fn send(&mut self, text: &str) {
+        self.stream.write_all(text.as_bytes()).await.expect("written");
+    }
+
+    /// Sends a request and reads its answer.
+    pub async fn ask(&mut self, text: &str) -> Message {
+        self.send(text).await;
+        self.message().await.expect("an answer")
+    }
+}
--- /dev/null
+++ b/standins/src/dice.rs
@@ -0,0 +1,78 @@
+//! Draws from a seed.
+
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg32;
+use std::hash::{Hash, Hasher};
+use std::time::Duration;
+
+/// A source of draws that is the same for the same seed and names.
+#[derive(Clone, Debug)]
+pub struct Dice(Pcg32);
+
+/// FNV-1a: the standard library's hasher may change with its version, and draws with it.
+struct Fnv(u64);
+
+impl Hasher for Fnv {
+    fn finish(&self) -> u64 {
+        self.0
+    }
+
+    fn write(&mut self, bytes: &[u8]) {
+        for &byte in bytes {
+            self.0 = (self.0 ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
+        }
+    }
+}
+
+impl Dice {
+    /// Draws of a seed, for what these names stand for.
+    pub fn new(seed: u64, names: impl Hash) -> Dice {
+        let mut hash = Fnv(0xcbf2_9ce4_8422_2325 ^ seed);
+        names.hash(&mut hash);
+        Dice(Pcg32::seed_from_u64(hash.finish()))
+    }
+
+    /// A number from 0 to under 1.
+    pub fn share(&mut self) -> f64 {
+        f64::from(self.0.next_u32()) / (f64::from(u32::MAX) + 1.0)
+    }
+
+    /// Whether something of this chance happens.
+    pub fn happens(&mut self, chance: f64) -> bool {
+        self.share() < chance
+    }
+
+    /// A whole number below `most`; 0 if that is 0.
+    pub fn below(&mut self, most: usize) -> usize {
+        (self.share() * most as f64) as usize
+    }
+
+    /// A time with this mean: exponential, no more than eight times the mean.
+    pub fn time(&mut self, mean: Duration) -> Duration {
+        mean.mul_f64((-(1.0 - self.share()).ln()).min(8.0))
+    }
+
+    /// Random bytes.
+    pub fn bytes(&mut self, count: usize) -> Vec<u8> {
+        let mut bytes = vec![0; count];
+        self.0.fill_bytes(&mut bytes);
+        bytes
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn draws_depend_on_seed_and_names_alone() {
+        let draw = |seed, name: &str| Dice::new(seed, (name, 3)).bytes(16);
+        assert_eq!(draw(7, "a"), draw(7, "a"));
+        assert_ne!(draw(7, "a"), draw(8, "a"));
+        assert_ne!(draw(7, "a"), draw(7, "b"));
+        let mut dice = Dice::new(1, "mean");
+        let mean: f64 =
+            (0..20_000).map(|_| dice.time(Duration::from_millis(10)).as_secs_f64()).sum::<f64>() / 20_000.0;
+        assert!((0.0095..0.0105).contains(&mean), "{mean}");
+    }
+}
--- /dev/null
+++ b/standins/src/load.rs
@@ -0,0 +1,201 @@
+//! Clients that ask, one request at a time on each connection, and come again as real ones do.
+
+use crate::dice::Dice;
+use crate::message::Reader;
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::task::JoinSet;
+use tokio::time::{sleep, Instant};
+
+/// What came of the requests so far. A request is counted once, however often its client came again.
+#[derive(Clone, Debug, Default)]
+pub struct Tally {
+    /// Answered by a host.
+    pub served: u64,
+    /// Turned away, and given up by its client.
+    pub refused: u64,
+    /// Failed; it may have run.
+    pub failed: u64,
+    /// Its connection ended without an answer.
+    pub lost: u64,
+    /// How often clients came again after a refusal.
+    pub again: u64,
+    /// Times of the answers that hosts gave.
+    pub times: Vec<Duration>,
+}
+
+impl Tally {
+    /// All that were asked.
+    pub fn all(&self) -> u64 {
+        self.served + self.refused + self.failed + self.lost
+    }
+
+    /// The time that this share of the answers (0 to 1) took at most; zero without any.
+    pub fn time(&self, share: f64) -> Duration {
+        let mut times = self.times.clone();
+        times.sort_unstable();
+        let place = (times.len().saturating_sub(1) as f64 * share).round() as usize;
+        times.get(place).copied().unwrap_or_default()
+    }
+}
+
+/// Clients and what they ask for.
+#[derive(Clone, Debug)]
+pub struct Load {
+    /// Where they connect.
+    pub address: SocketAddr,
+    /// The seed of all draws; part of every id.
+    pub seed: u64,
+    /// How many connections ask side by side.
+    pub clients: usize,
+    /// How many requests each asks at most.
+    pub calls: usize,
+    /// Until when they begin new ones.
+    pub until: Option<Instant>,
+    /// Mean pause between two requests of a client.
+    pub pause: Duration,
+    /// Classes (`free`, `keyed`, `unsafe`) and the share of each; together 1.
+    pub classes: Vec<(&'static str, f64)>,
+    /// Bytes of a POST's body.
+    pub body: usize,
+    /// How long they wait for an answer.
+    pub budget: Duration,
+    /// How often they come again after a refusal.
+    pub retries: usize,
+}
+
+impl Load {
+    /// A few clients with a mix of all classes.
+    pub fn new(address: SocketAddr, seed: u64) -> Load {
+        Load {
+            address,
+            seed,
+            clients: 8,
+            calls: usize::MAX,
+            until: None,
+            pause: Duration::ZERO,
+            classes: vec![("free", 0.5), ("keyed", 0.3), ("unsafe", 0.2)],
+            body: 64,
+            budget: Duration::from_secs(2),
+            retries: 3,
+        }
+    }
+
+    /// Asks until all is asked; `tally` shows how far it is. Needs a [`tokio::task::LocalSet`].
+    pub async fn run(&self, tally: &Rc<RefCell<Tally>>) {
+        let load = Rc::new(self.clone());
+        let mut clients = JoinSet::new();
+        for client in 0..self.clients {
+            let (load, tally) = (load.clone(), tally.clone());
+            clients.spawn_local(async move { load.client(client, &tally).await });
+        }
+        while let Some(client) = clients.join_next().await {
+            client.expect("a client does not panic");
+        }
+    }
+
+    async fn client(&self, client: usize, tally: &Rc<RefCell<Tally>>) {
+        let mut dice = Dice::new(self.seed, ("client", client));
+        let mut stream = None;
+        for call in 0..self.calls {
+            if self.until.is_some_and(|until| Instant::now() >= until) {
+                return;
+            }
+            if !self.pause.is_zero() {
+                sleep(dice.time(self.pause)).await;
+            }
+            let class = self.class(dice.share());
+            for again in 0..=self.retries {
+                let text = self.text(class, client, call, again);
+                let started = Instant::now();
+                let answer = ask(&mut stream, self.address, &text).await;
+                let refused = matches!(answer, Some((429 | 503, _)));
+                if let Some((_, advice)) = answer.filter(|_| refused && again < self.retries) {
+                    tally.borrow_mut().again += 1;
+                    sleep(advice).await;
+                    continue;
+                }
+                let mut tally = tally.borrow_mut();
+                match answer {
+                    Some((200, _)) => {
+                        tally.served += 1;
+                        tally.times.push(started.elapsed());
+                    }
+                    Some(_) if refused => tally.refused += 1,
+                    Some(_) => tally.failed += 1,
+                    None => tally.lost += 1,
+                }
+                break;
+            }
+        }
+    }
+
+    fn class(&self, mut draw: f64) -> &'static str {
+        for &(class, share) in &self.classes {
+            if draw < share {
+                return class;
+            }
+            draw -= share;
+        }
+        self.classes.last().expect("a class").0
+    }
+
+    /// A request. Its id is new each time that it comes; its key is not.
+    fn text(&self, class: &str, client: usize, call: usize, again: usize) -> String {
+        let name = format!("{:x}-{client:x}-{call:x}", self.seed);
+        let (method, more) = match class {
+            "free" => ("GET", String::new()),
+            "keyed" => ("POST", format!("Idempotency-Key: k-{name}\r\nContent-Length: {}\r\n", self.body)),
+            _ => ("POST", format!("Content-Length: {}\r\n", self.body)),
+        };
+        let again_said = if again > 0 { "X-Again: 1\r\n" } else { "" };
+        let body = if method == "GET" { String::new() } else { "b".repeat(self.body) };
+        format!(
+            "{method} /api HTTP/1.1\r\nHost: api.internal\r\nX-Call-Id: {name}-{again}\r\nX-Call-Class: {class}\r\n\
+             X-Budget-Ms: {}\r\n{again_said}{more}\r\n{body}",
+            self.budget.as_millis()
+        )
+    }
+}
+
+/// Asks on a connection, on a new one if there is none or it turns out closed between two requests. Gives the
+/// status and the advice when to come back.
+async fn ask(
+    kept: &mut Option<Reader<TcpStream>>,
+    address: SocketAddr,
+    text: &str,
+) -> Option<(u16, Duration)> {
+    // A server may close between requests; that crosses a request at most once on each connection.
+    for _ in 0..2 {
+        let reused = kept.is_some();
+        let mut client = match kept.take() {
+            Some(client) => client,
+            None => {
+                let stream = TcpStream::connect(address).await.ok()?;
+                stream.set_nodelay(true).ok()?;
+                Reader::new(stream)
+            }
+        };
+        let answer = match client.stream.write_all(text.as_bytes()).await {
+            Ok(()) => client.message().await,
+            Err(_) => None,
+        };
+        let Some(answer) = answer else {
+            if reused {
+                continue;
+            }
+            return None;
+        };
+        let advice = answer.header("retry-after").and_then(|seconds| seconds.parse().ok());
+        let advice = advice.and_then(|s| Duration::try_from_secs_f64(s).ok()).unwrap_or_default();
+        if answer.header("connection") != Some("close") {
+            *kept = Some(client);
+        }
+        return Some((answer.status(), advice));
+    }
+    None
+}
--- /dev/null
+++ b/standins/src/proxy.rs
@@ -0,0 +1,138 @@
+//! A running proxy, in one of the forms that it comes in. One suite of tests runs against all of them.
+
+use crate::client::Client;
+use crate::configuration::configuration;
+use crate::discovery::Discovery;
+use crate::host::Host;
+use crate::message::Reader;
+use nettleworks::config::Config;
+use std::future::Future;
+use std::marker::PhantomData;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::Stdio;
+use std::sync::atomic::{AtomicU64, Ordering};
+use tokio::io::{AsyncBufReadExt, BufReader};
+use tokio::net::TcpStream;
+use tokio::process::Command;
+use tokio::sync::oneshot;
+use tokio::task::{spawn_local, JoinHandle};
+
+/// A form in which the proxy runs.
+pub trait Form: 'static {
+    /// Starts it with this configuration, which says port 0, until `stop` is told or dropped. Gives its address,
+    /// and a task that ends when it has stopped and that panics if it did not end well.
+    fn start(
+        config: String,
+        stop: oneshot::Receiver<()>,
+    ) -> impl Future<Output = (SocketAddr, JoinHandle<()>)>;
+}
+
+/// A running proxy.
+#[derive(Debug)]
+pub struct Proxy<F> {
+    /// Where clients connect.
+    pub address: SocketAddr,
+    /// Stops it when told or dropped.
+    pub stop: Option<oneshot::Sender<()>>,
+    /// Ends when it has stopped.
+    pub task: JoinHandle<()>,
+    form: PhantomData<F>,
+}
+
+impl<F: Form> Proxy<F> {
+    /// A proxy that knows these hosts, with a discovery that says nothing.
+    pub async fn start(hosts: &[Host]) -> Self {
+        Self::with(&Discovery::quiet().await, hosts, |_| ()).await
+    }
+
+    /// A proxy that knows these hosts; `change` sees its configuration first.
+    pub async fn with(
+        discovery: &Discovery,
+        hosts: &[Host],
+        change: impl FnOnce(&mut serde_json::Value),
+    ) -> Self {
+        Self::configured(configuration(discovery.address, hosts, change)).await
+    }
+
+    /// A proxy with this configuration.
+    pub async fn configured(config: String) -> Self {
+        let (stop, stopped) = oneshot::channel();
+        let (address, task) = F::start(config, stopped).await;
+        Proxy { address, stop: Some(stop), task, form: PhantomData }
+    }
+
+    /// A client's new connection.
+    pub async fn client(&self) -> Client {
+        Reader::new(TcpStream::connect(self.address).await.expect("the proxy accepts"))
+    }
+}
+
+/// The daemon's front and driver on the test's own thread.
+#[derive(Debug)]
+pub struct Inside;
+
+impl Form for Inside {
+    async fn start(config: String, stop: oneshot::Receiver<()>) -> (SocketAddr, JoinHandle<()>) {
+        let config = Config::parse(&config).expect("a good configuration");
+        let listener = nettleworks::server::listen(config.listen).expect("it listens");
+        let address = listener.local_addr().expect("an address");
+        let stop = async {
+            let _ = stop.await;
+        };
+        let log = nettleworks_engine::log_to_stderr();
+        (address, spawn_local(nettleworks::run(config, log, listener, async || None, stop)))
+    }
+}
+
+/// The program as a process of its own, stopped by SIGTERM.
+pub trait Program: 'static {
+    /// Where the program is.
+    const PATH: &'static str;
+    /// A folder for its configuration.
+    const SCRATCH: &'static str;
+}
+
+impl<P: Program> Form for P {
+    async fn start(config: String, stop: oneshot::Receiver<()>) -> (SocketAddr, JoinHandle<()>) {
+        static COUNT: AtomicU64 = AtomicU64::new(0);
+        let name = format!("{}-{}.json", std::process::id(), COUNT.fetch_add(1, Ordering::Relaxed));
+        let path = PathBuf::from(P::SCRATCH).join(name);
+        std::fs::write(&path, config).expect("written");
+        let mut child = Command::new(P::PATH)
+            .env("ROUTER_CONFIG", &path)
+            .stdout(Stdio::null())
+            .stderr(Stdio::piped())
+            .kill_on_drop(true)
+            .spawn()
+            .expect("it starts");
+        let mut log = BufReader::new(child.stderr.take().expect("piped")).lines();
+        let address = loop {
+            let line = log.next_line().await.expect("a log").expect("it says where it serves");
+            if let Some((_, address)) = line.split_once("serving at ") {
+                break address.parse().expect("an address");
+            }
+        };
+        // It has read its file.
+        std::fs::remove_file(&path).expect("removed");
+        let task = spawn_local(async move {
+            // Read to its end, else the program would wait to write.
+            let log = spawn_local(async move {
+                let mut panicked = false;
+                while let Ok(Some(line)) = log.next_line().await {
+                    panicked |= line.contains("panicked");
+                }
+                panicked
+            });
+            let _ = stop.await;
+            if let Some(id) = child.id() {
+                let killed = Command::new("kill").arg(id.to_string()).status().await;
+                assert!(killed.expect("kill runs").success());
+            }
+            let status = child.wait().await.expect("it can be waited for");
+            assert_eq!(status.code(), Some(0));
+            assert!(!log.await.expect("its log is read"), "it panicked");
+        });
+        (address, task)
+    }
+}
--- /dev/null
+++ b/standins/src/wait.rs
@@ -0,0 +1,26 @@
+//! How a test runs and waits.
+
+use std::future::Future;
+use std::time::Duration;
+use tokio::task::LocalSet;
+use tokio::time::{sleep, timeout};
+
+/// Far longer than any test takes.
+pub const PATIENCE: Duration = Duration::from_secs(30);
+
+/// Runs a test on a thread of its own runtime, and fails it when it does not end.
+pub fn run<T>(test: impl Future<Output = T>) -> T {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    let test = async { timeout(PATIENCE, test).await.expect("the test ends in time") };
+    LocalSet::new().block_on(&runtime, test)
+}
+
+/// Waits for a condition; a failure names what never came.
+pub async fn eventually(what: &str, condition: impl Fn() -> bool) {
+    let met = async {
+        while !condition() {
+            sleep(Duration::from_millis(1)).await;
+        }
+    };
+    timeout(PATIENCE / 2, met).await.unwrap_or_else(|_| panic!("never: {what}"));
+}
