Add the library: an engine on its own thread, calls, tower service, axum middleware, serve

Need: the reception tablets' web service wants the proxy inside, with exactly the daemon's behaviour.

Change: library/ (nettleworks-client). Fleet starts the daemon's engine on a thread and runtime of its own and talks to it by one queue, bounded by the places for open calls. Calls, a tower Service, a Layer for axum with an extractor, serve, watch, reload, shutdown. Errors say whether a call may have run. The checks of requests are the daemon's, generic over the body.

--- /dev/null
+++ b/library/src/builder.rs
@@ -0,0 +1,148 @@
+//! A fleet's configuration, from a file or in code. Both go through the daemon's checks: what is built in code is put
+//! into the daemon's own form first.
+
+use crate::error::StartError;
+use crate::fleet::Fleet;
+use nettleworks_engine::config::Config;
+use serde_json::{json, Value};
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+/// Whether a call of a class may run again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ClassKind {
+    /// Harmless: a GET.
+    Free,
+    /// Harmless within one pod of hosts and this time from the first try: a POST with an `Idempotency-Key`.
+    Keyed {
+        /// For how long pods drop repeats.
+        window: Duration,
+    },
+    /// Never: a POST without a key.
+    Unsafe,
+}
+
+/// Builds a [`Fleet`].
+pub struct Builder {
+    config: Result<Value, StartError>,
+    calls: Option<usize>,
+    log: Box<dyn Fn(&str) + Send>,
+}
+
+impl Default for Builder {
+    /// One proxy that asks for its list of hosts, with no class yet. It writes no log.
+    fn default() -> Self {
+        let config = json!({
+            "listen": "127.0.0.1:0", "seed": "1", "limits": {"sockets": 1_024},
+            "settings": {
+                "balancers": 1, "discovery": "ask", "classes": [],
+                "limits": {"cancel": true, "max_attempts": 3, "second_copies": false, "max_retry_after_us": 1_000_000},
+                "invariants": {"cold_from": 0.3, "cold_us": 10_000_000, "ask_every_us": 5_000_000}
+            }
+        });
+        Builder { config: Ok(config), calls: None, log: Box::new(|_| ()) }
+    }
+}
+
+impl Builder {
+    /// Takes the configuration from a file of the daemon's form (`docs/configuration.md`). Its `listen` says nothing
+    /// here: [`Fleet::serve`] is given a listener. A file that cannot be read is an error at once, a broken one at
+    /// [`Builder::start`].
+    pub fn file(mut self, path: impl AsRef<Path>) -> Result<Self, StartError> {
+        let path = path.as_ref();
+        let bad = |error: String| StartError::Configuration(format!("{}: {error}", path.display()));
+        let text = std::fs::read_to_string(path).map_err(|error| bad(error.to_string()))?;
+        self.config = serde_json::from_str(&text).map_err(|error| bad(error.to_string()));
+        Ok(self)
+    }
+
+    /// Takes the configuration from a text of the daemon's form.
+    pub fn text(mut self, text: &str) -> Self {
+        self.config = serde_json::from_str(text).map_err(|e| StartError::Configuration(e.to_string()));
+        self
+    }
+
+    fn set(mut self, place: &[&str], value: Value) -> Self {
+        if let Ok(config) = &mut self.config {
+            let mut at = config;
+            for key in place {
+                if at.is_null() {
+                    *at = json!({});
+                }
+                // A broken file is for the checks to find: nothing is put into what is no object.
+                let Some(object) = at.as_object_mut() else { return self };
+                at = object.entry(*key).or_insert(Value::Null);
+            }
+            *at = value;
+        }
+        self
+    }
+
+    /// Where discovery answers.
+    pub fn discovery(self, address: SocketAddr) -> Self {
+        self.set(&["discovery"], address.to_string().into())
+    }
+
+    /// The seed of all random choices; the default is 1. Proxies of one fleet should differ.
+    pub fn seed(self, seed: u64) -> Self {
+        self.set(&["seed"], format!("{seed:x}").into())
+    }
+
+    /// Most descriptors that this fleet may hold, 64 or more. No other fleet's count.
+    pub fn sockets(self, most: usize) -> Self {
+        self.set(&["limits", "sockets"], most.into())
+    }
+
+    /// How many proxies send to these hosts, this one included, and its number among them, from 0.
+    pub fn proxies(self, count: u32, me: u32) -> Self {
+        self.set(&["settings", "balancers"], count.into()).set(&["settings", "me"], me.into())
+    }
+
+    /// Most attempts for a call.
+    pub fn attempts(self, most: u32) -> Self {
+        self.set(&["settings", "limits", "max_attempts"], most.into())
+    }
+
+    /// Adds a class: answers are wanted within `aim`, and no client waits longer than `deadline`.
+    pub fn class(mut self, name: &str, kind: ClassKind, aim: Duration, deadline: Duration) -> Self {
+        let (word, window) = match kind {
+            ClassKind::Free => ("free", Duration::ZERO),
+            ClassKind::Keyed { window } => ("guarded", window),
+            ClassKind::Unsafe => ("single_shot", Duration::ZERO),
+        };
+        let micros = |time: Duration| u64::try_from(time.as_micros()).unwrap_or(u64::MAX);
+        let class = json!({"name": name, "objective_us": micros(aim), "deadline_us": micros(deadline), "worth": 1.0,
+                           "idempotency": word, "dedup_scope": "cell", "repeat_window_us": micros(window)});
+        if let Ok(config) = &mut self.config {
+            if let Some(classes) = config["settings"]["classes"].as_array_mut() {
+                classes.push(class);
+            }
+        }
+        self
+    }
+
+    /// Most calls that may be open; the default is a third of the descriptors, as the daemon's clients have it. One
+    /// more is refused at once, and a [`tower_service::Service`] is not ready.
+    pub fn calls(mut self, most: usize) -> Self {
+        self.calls = Some(most);
+        self
+    }
+
+    /// Takes the lines of this fleet's log, on its own thread: it must not block.
+    pub fn log(mut self, log: impl Fn(&str) + Send + 'static) -> Self {
+        self.log = Box::new(log);
+        self
+    }
+
+    /// Starts the engine on its thread. It asks for its list of hosts at once; [`Fleet::ready`] waits for it.
+    ///
+    /// # Errors
+    /// A configuration that the daemon would not start with, or no thread to be had.
+    pub fn start(self) -> Result<Fleet, StartError> {
+        let text = self.config?.to_string();
+        let config = Config::parse(&text).map_err(StartError::Configuration)?;
+        let calls = self.calls.unwrap_or(config.sockets / 3);
+        Fleet::start(config, calls, self.log)
+    }
+}
--- /dev/null
+++ b/library/src/context.rs
@@ -0,0 +1,176 @@
+//! What an incoming request says of its time, class, tenant and key, for the calls that its handler makes.
+
+use http::{HeaderMap, HeaderName, HeaderValue, Request};
+use std::time::Duration;
+use tokio::time::Instant;
+
+const CLASS: HeaderName = HeaderName::from_static("x-call-class");
+const TENANT: HeaderName = HeaderName::from_static("x-caller");
+const KEY: HeaderName = HeaderName::from_static("idempotency-key");
+const AGAIN: HeaderName = HeaderName::from_static("x-again");
+
+/// What an incoming request says of itself. [`crate::FleetLayer`] puts it among the request's extensions, with the
+/// time counted from the request's arrival; in an axum handler it is an extractor. Among an outgoing request's
+/// extensions it stands in for the headers that the request lacks.
+///
+/// What a request says twice or in no readable form counts as unsaid: a call without a class is then turned away.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct CallContext {
+    class: Option<HeaderValue>,
+    tenant: Option<HeaderValue>,
+    key: Option<HeaderValue>,
+    deadline: Option<Instant>,
+    resent: bool,
+}
+
+impl CallContext {
+    /// What these headers say of a request that came at `arrived`.
+    pub fn from_headers(headers: &HeaderMap, arrived: Instant) -> CallContext {
+        let one = |name: &HeaderName| {
+            let mut values = headers.get_all(name).iter();
+            values.next().filter(|_| values.next().is_none()).cloned()
+        };
+        let budget = one(&HeaderName::from_static("x-budget-ms"));
+        let budget = budget.as_ref().and_then(|value| value.to_str().ok()?.parse::<u32>().ok());
+        CallContext {
+            class: one(&CLASS),
+            tenant: one(&TENANT),
+            key: one(&KEY),
+            deadline: budget.map(|ms| arrived + Duration::from_millis(ms.into())),
+            resent: one(&AGAIN).is_some_and(|value| value == "1"),
+        }
+    }
+
+    /// The class, if it is said and readable.
+    pub fn class(&self) -> Option<&str> {
+        self.class.as_ref()?.to_str().ok()
+    }
+
+    /// The tenant, likewise.
+    pub fn tenant(&self) -> Option<&str> {
+        self.tenant.as_ref()?.to_str().ok()
+    }
+
+    /// The idempotency key, likewise.
+    pub fn key(&self) -> Option<&str> {
+        self.key.as_ref()?.to_str().ok()
+    }
+
+    /// When the request's client no longer waits.
+    pub fn deadline(&self) -> Option<Instant> {
+        self.deadline
+    }
+
+    /// How long its client still waits; `None`: it has not said. An answer needs time for its way back.
+    pub fn remaining(&self) -> Option<Duration> {
+        self.deadline.map(|deadline| deadline.saturating_duration_since(Instant::now()))
+    }
+
+    /// Whether its client says that it has tried before.
+    pub fn is_again(&self) -> bool {
+        self.resent
+    }
+
+    /// The same for a call of another class.
+    ///
+    /// # Errors
+    /// The name cannot be a header's value.
+    pub fn with_class(mut self, class: &str) -> Result<CallContext, http::header::InvalidHeaderValue> {
+        self.class = Some(HeaderValue::try_from(class)?);
+        Ok(self)
+    }
+
+    /// The same for one of several calls that a handler makes for one keyed request: hosts would take two calls with
+    /// one key for one. The key is the same whenever the request comes again. Without a key there is still none.
+    ///
+    /// # Errors
+    /// The step's name cannot be part of a header's value.
+    pub fn for_step(mut self, step: &str) -> Result<CallContext, http::header::InvalidHeaderValue> {
+        if let Some(key) = &self.key {
+            let bytes = [key.as_bytes(), b"/", step.as_bytes()].concat();
+            self.key = Some(HeaderValue::from_bytes(&bytes)?);
+        }
+        Ok(self)
+    }
+
+    /// An outgoing request in this context.
+    pub fn apply<B>(self, request: &mut Request<B>) {
+        request.extensions_mut().insert(self);
+    }
+
+    /// Headers that the request lacks. A key goes to a POST that belongs to a keyed class only as the checks have it:
+    /// it is filled in as it came, and a request that does not fit its class is turned away.
+    pub(crate) fn fill_in(&self, headers: &mut HeaderMap) {
+        let again = self.resent.then(|| HeaderValue::from_static("1"));
+        let values = [(CLASS, &self.class), (TENANT, &self.tenant), (KEY, &self.key), (AGAIN, &again)];
+        for (name, value) in values {
+            if let Some(value) = value {
+                headers.entry(name).or_insert_with(|| value.clone());
+            }
+        }
+    }
+}
+
+#[cfg(feature = "axum")]
+impl<S: Sync> axum_core::extract::FromRequestParts<S> for CallContext {
+    type Rejection = std::convert::Infallible;
+
+    async fn from_request_parts(parts: &mut http::request::Parts, _: &S) -> Result<Self, Self::Rejection> {
+        // Without the layer its time runs from here: what came before is not known.
+        Ok(match parts.extensions.get::<CallContext>() {
+            Some(context) => context.clone(),
+            None => CallContext::from_headers(&parts.headers, Instant::now()),
+        })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn headers(pairs: &[(&'static str, &'static str)]) -> HeaderMap {
+        pairs.iter().map(|&(n, v)| (HeaderName::from_static(n), HeaderValue::from_static(v))).collect()
+    }
+
+    #[tokio::test(start_paused = true)]
+    async fn what_a_request_says_is_read_once_and_its_time_runs_from_its_arrival() {
+        let said = headers(&[
+            ("x-call-class", "door"),
+            ("x-caller", "acme"),
+            ("idempotency-key", "k"),
+            ("x-budget-ms", "400"),
+            ("x-again", "1"),
+        ]);
+        let context = CallContext::from_headers(&said, Instant::now());
+        assert_eq!(
+            (context.class(), context.tenant(), context.key()),
+            (Some("door"), Some("acme"), Some("k"))
+        );
+        assert!(context.is_again());
+        tokio::time::advance(Duration::from_millis(150)).await;
+        assert_eq!(context.remaining(), Some(Duration::from_millis(250)));
+        tokio::time::advance(Duration::from_millis(900)).await;
+        assert_eq!(context.remaining(), Some(Duration::ZERO));
+    }
+
+    #[tokio::test(start_paused = true)]
+    async fn what_is_said_twice_or_unreadably_is_unsaid() {
+        let mut said = headers(&[("x-call-class", "door"), ("x-budget-ms", "-4")]);
+        said.append(CLASS, HeaderValue::from_static("other"));
+        assert_eq!(CallContext::from_headers(&said, Instant::now()), CallContext::default());
+    }
+
+    #[test]
+    fn a_context_stands_in_for_what_a_request_lacks() {
+        let said = headers(&[("x-call-class", "door"), ("idempotency-key", "k")]);
+        let context = CallContext::from_headers(&said, Instant::now());
+        let mut own = headers(&[("x-call-class", "own")]);
+        context.clone().for_step("charge").expect("a key").fill_in(&mut own);
+        assert_eq!(
+            (&own["x-call-class"], &own["idempotency-key"]),
+            (&"own".parse().expect("a value"), &"k/charge".parse().expect("a value"))
+        );
+        assert!(!own.contains_key("x-caller") && !own.contains_key("x-again"));
+        assert!(context.for_step("bad\nstep").is_err());
+    }
+}
--- /dev/null
+++ b/library/src/fleet.rs
@@ -0,0 +1,356 @@
+//! The application's handle of an engine, and the calls that it makes.
+
+use crate::builder::Builder;
+use crate::context::CallContext;
+use crate::error::{Error, StartError, Unfinished};
+use crate::thread::{self, Command, Ended, Ticket};
+use bytes::Bytes;
+use http::{HeaderMap, HeaderValue, Request, Response};
+use nettleworks::requests;
+use nettleworks_engine::calls::{Ask, Caller, Reply};
+use nettleworks_engine::config::Config;
+use nettleworks_engine::http1::{Forward, BODY_MOST};
+use nettleworks_engine::state::State;
+use std::fmt;
+use std::future::Future;
+use std::io;
+use std::net::TcpListener;
+use std::path::Path;
+use std::pin::Pin;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot, watch, OwnedSemaphorePermit, Semaphore};
+use tokio::time::Instant;
+
+/// When to come again after a refusal for want of a place among the open calls: one is free within an answer's time.
+const PLACE_ADVICE: Duration = Duration::from_millis(50);
+
+/// A fleet of hosts, and the engine that spreads calls over it. Clones are the same fleet.
+///
+/// The engine ends when it is told to ([`Fleet::shutdown`]) or when the last clone, [`Call`], [`Serving`] and service
+/// is gone. Either way it first finishes what it has taken: open calls get their answers, and a front closes in
+/// order. Dropping does not wait for that; it goes on in the background for as long as the process runs.
+#[derive(Clone)]
+pub struct Fleet(Arc<Inner>);
+
+struct Inner {
+    commands: mpsc::UnboundedSender<Command>,
+    config: Config,
+    state: watch::Receiver<State>,
+    ended: Ended,
+    places: Arc<Semaphore>,
+    next_id: AtomicU64,
+}
+
+impl fmt::Debug for Fleet {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        out.debug_struct("Fleet").field("discovery", &self.0.config.discovery).finish_non_exhaustive()
+    }
+}
+
+impl Fleet {
+    /// Builds a fleet, from a file or in code.
+    pub fn builder() -> Builder {
+        Builder::default()
+    }
+
+    pub(crate) fn start(
+        config: Config,
+        calls: usize,
+        log: Box<dyn Fn(&str) + Send>,
+    ) -> Result<Fleet, StartError> {
+        if !(1..=Semaphore::MAX_PERMITS).contains(&calls) {
+            return Err(StartError::Configuration(format!("{calls} open calls are too few or too many")));
+        }
+        let started = thread::start(config.clone(), log)?;
+        // Ids must differ between the processes of a fleet, and after a restart.
+        let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
+        let first = mix(config.seed ^ mix(now.as_nanos() as u64) ^ u64::from(std::process::id()));
+        Ok(Fleet(Arc::new(Inner {
+            commands: started.commands,
+            config,
+            state: started.state,
+            ended: started.ended,
+            places: Arc::new(Semaphore::new(calls)),
+            next_id: AtomicU64::new(first),
+        })))
+    }
+
+    /// Sends a request over the fleet and gives its one answer, within `deadline` from now.
+    ///
+    /// Its class, tenant and key are those of the headers that the daemon's clients send (`x-call-class`, `x-caller`,
+    /// `idempotency-key`), or else of a [`CallContext`] among its extensions. So is its time: the least of `deadline`,
+    /// `x-budget-ms`, the context's and the class's. Without an `x-call-id` it gets one of its own. Nothing is sent
+    /// before the future is polled; dropping it tells the module that the client has gone.
+    ///
+    /// # Errors
+    /// [`Error`] says whether it may have run. A fleet with as many open calls as it may have refuses one more at
+    /// once.
+    pub fn call(
+        &self,
+        request: Request<Bytes>,
+        deadline: Duration,
+    ) -> impl Future<Output = Result<Response<Bytes>, Error>> + Send + 'static {
+        let (fleet, until) = (self.clone(), Instant::now() + deadline);
+        async move {
+            let place = fleet.place()?;
+            fleet.send(request, until, place)?.await
+        }
+    }
+
+    /// A place for one more call.
+    pub(crate) fn place(&self) -> Result<OwnedSemaphorePermit, Error> {
+        self.0.places.clone().try_acquire_owned().map_err(|error| match error {
+            tokio::sync::TryAcquireError::Closed => Error::Closed,
+            tokio::sync::TryAcquireError::NoPermits => self.full(),
+        })
+    }
+
+    pub(crate) fn places(&self) -> &Arc<Semaphore> {
+        &self.0.places
+    }
+
+    pub(crate) fn config(&self) -> &Config {
+        &self.0.config
+    }
+
+    fn full(&self) -> Error {
+        let most = Duration::from_micros(self.0.config.settings.limits.max_retry_after);
+        Error::Refused { retry_after: if most.is_zero() { PLACE_ADVICE } else { most.min(PLACE_ADVICE) } }
+    }
+
+    /// Checks a request and sends it. It must be answered at `until`.
+    pub(crate) fn send(
+        &self,
+        request: Request<Bytes>,
+        until: Instant,
+        place: OwnedSemaphorePermit,
+    ) -> Result<Call, Error> {
+        let (mut head, body) = request.into_parts();
+        if body.len() > BODY_MOST {
+            return Err(Error::Unusable(http::StatusCode::PAYLOAD_TOO_LARGE));
+        }
+        let context = head.extensions.get::<CallContext>().cloned().unwrap_or_default();
+        let until = context.deadline().map_or(until, |deadline| deadline.min(until));
+        let left = until.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            // In its time there is no answer but this one; it never ran.
+            return Err(self.full());
+        }
+        context.fill_in(&mut head.headers);
+        self.fill_in(&mut head.headers, left);
+        let (mut ask, budget) = requests::ask(self.config(), &head.method, &head.headers, body.is_empty())
+            .map_err(Error::Unusable)?;
+        ask.deadline = until.min(Instant::now() + budget);
+        self.take_in(ask, requests::forward(head, body), place)
+    }
+
+    /// An id and a time where the application has said none.
+    fn fill_in(&self, headers: &mut HeaderMap, left: Duration) {
+        if !headers.contains_key("x-call-id") {
+            let id = mix(self.0.next_id.fetch_add(1, Ordering::Relaxed));
+            headers.extend(
+                HeaderValue::try_from(format!("{id:016x}"))
+                    .ok()
+                    .map(|id| (http::HeaderName::from_static("x-call-id"), id)),
+            );
+        }
+        if !headers.contains_key("x-budget-ms") {
+            let left = u32::try_from(left.as_millis()).unwrap_or(u32::MAX).max(1);
+            headers.insert("x-budget-ms", HeaderValue::from(left));
+        }
+    }
+
+    /// Hands a request to the engine.
+    pub(crate) fn take_in(
+        &self,
+        ask: Ask<HeaderValue>,
+        forward: Forward,
+        place: OwnedSemaphorePermit,
+    ) -> Result<Call, Error> {
+        let (sender, reply) = oneshot::channel();
+        let caller = Caller { reply: sender, place: Some(place) };
+        let ticket = Ticket::default();
+        let command = Command::Call { ask, forward, caller, ticket: ticket.clone() };
+        self.0.commands.send(command).map_err(|_| Error::Closed)?;
+        Ok(Call { fleet: self.clone(), reply: Some(reply), ticket })
+    }
+
+    /// Serves clients on a listener as the daemon does, on the engine's thread, until the returned handle stops it or
+    /// is dropped, or the fleet is shut down. Make the listener with [`crate::listen`] or as any other.
+    ///
+    /// # Errors
+    /// The listener cannot be made non-blocking, or the fleet has ended.
+    pub fn serve(&self, listener: impl IntoStd) -> io::Result<Serving> {
+        let listener = listener.into_std()?;
+        listener.set_nonblocking(true)?;
+        let (stop, stopped) = oneshot::channel();
+        let (done, is_done) = oneshot::channel();
+        let command = Command::Serve { listener, stop: stopped, done };
+        self.0.commands.send(command).map_err(|_| io::Error::other(Error::Closed))?;
+        Ok(Serving { _fleet: self.clone(), stop: Some(stop), done: is_done })
+    }
+
+    /// What the engine shows of itself; it changes with the list of hosts, and once a second. It costs the engine a
+    /// walk over what is open each time.
+    pub fn watch(&self) -> watch::Receiver<State> {
+        self.0.state.clone()
+    }
+
+    /// Whether a list of hosts is in hand, as of every call that was sent before.
+    ///
+    /// # Errors
+    /// The fleet has ended.
+    pub async fn is_ready(&self) -> Result<bool, Error> {
+        let (sender, answer) = oneshot::channel();
+        self.0.commands.send(Command::Ready(sender)).map_err(|_| Error::Closed)?;
+        answer.await.map_err(|_| Error::Closed)
+    }
+
+    /// Waits until a list of hosts is in hand. Calls made before that wait or are refused by the module's rules.
+    ///
+    /// # Errors
+    /// The fleet has ended.
+    pub async fn ready(&self) -> Result<(), Error> {
+        let mut state = self.watch();
+        state.wait_for(|state| state.ready).await.map(|_| ()).map_err(|_| Error::Closed)
+    }
+
+    /// Goes on under a new configuration, as the daemon does on SIGHUP: discovery, descriptors and connection times
+    /// are taken over, the rest takes a new fleet; the log says so.
+    ///
+    /// # Errors
+    /// A configuration that the daemon would not take, which changes nothing; or the fleet has ended.
+    pub fn reload(&self, text: &str) -> Result<(), StartError> {
+        let config = Config::parse(text).map_err(StartError::Configuration)?;
+        let ended = |_| StartError::Configuration(Error::Closed.to_string());
+        self.0.commands.send(Command::Reload(Box::new(config))).map_err(ended)
+    }
+
+    /// As [`Fleet::reload`], from a file.
+    ///
+    /// # Errors
+    /// As there; or the file cannot be read.
+    pub fn reload_file(&self, path: impl AsRef<Path>) -> Result<(), StartError> {
+        let path = path.as_ref();
+        let bad = |e: &dyn fmt::Display| StartError::Configuration(format!("{}: {e}", path.display()));
+        self.reload(&std::fs::read_to_string(path).map_err(|e| bad(&e))?)
+    }
+
+    /// Takes no more calls, finishes those that are open, closes fronts in order, and ends the engine, within
+    /// `deadline`. Fronts take new connections for half a second yet, as clients come until they know. Calling it
+    /// again waits for the same end; calls after it get [`Error::Closed`].
+    ///
+    /// # Errors
+    /// [`Unfinished`] when the time was up with calls still open; they fail.
+    pub async fn shutdown(&self, deadline: Duration) -> Result<(), Unfinished> {
+        self.0.places.close();
+        // One that has ended is shut down.
+        let _ = self.0.commands.send(Command::Shutdown(deadline));
+        let mut ended = self.0.ended.clone();
+        let how = ended.wait_for(Option::is_some).await.ok().and_then(|how| *how);
+        // A thread that has ended without saying how has dropped all that was open.
+        how.unwrap_or(Ok(()))
+    }
+}
+
+/// A listener of the standard library or of any tokio runtime.
+pub trait IntoStd {
+    /// The listener, free of its runtime.
+    ///
+    /// # Errors
+    /// Its runtime does not let it go.
+    fn into_std(self) -> io::Result<TcpListener>;
+}
+
+impl IntoStd for TcpListener {
+    fn into_std(self) -> io::Result<TcpListener> {
+        Ok(self)
+    }
+}
+
+impl IntoStd for tokio::net::TcpListener {
+    fn into_std(self) -> io::Result<TcpListener> {
+        tokio::net::TcpListener::into_std(self)
+    }
+}
+
+/// A well-spread number for each number (SplitMix64's last steps); no two get the same.
+fn mix(number: u64) -> u64 {
+    let mut z = number.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    z ^ (z >> 31)
+}
+
+/// A call that is out. It goes on whether this is polled or not, and holds no more than its answer when it is not;
+/// dropped before its answer, it tells the module that its client has gone.
+#[derive(Debug)]
+pub struct Call {
+    fleet: Fleet,
+    /// `None`: it has been answered.
+    reply: Option<oneshot::Receiver<Reply<Response<Bytes>>>>,
+    ticket: Ticket,
+}
+
+impl Future for Call {
+    type Output = Result<Response<Bytes>, Error>;
+
+    fn poll(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Self::Output> {
+        let Some(reply) = &mut self.reply else { return Poll::Ready(Err(Error::Closed)) };
+        let Poll::Ready(reply) = Pin::new(reply).poll(context) else { return Poll::Pending };
+        self.reply = None;
+        Poll::Ready(match reply {
+            Ok(Reply::Served(answer)) => Ok(requests::served(answer)),
+            Ok(Reply::Refused(retry_after)) => Err(Error::Refused { retry_after }),
+            Ok(Reply::Failed) => Err(Error::Failed),
+            Ok(Reply::IdOpen) => Err(Error::Unusable(http::StatusCode::CONFLICT)),
+            // The engine has ended: it never took the call, or it may have run.
+            Err(_) if self.ticket.load(Ordering::Acquire) == 0 => Err(Error::Closed),
+            Err(_) => Err(Error::Failed),
+        })
+    }
+}
+
+impl Drop for Call {
+    fn drop(&mut self) {
+        // An answer that is there already has ended the call.
+        let answered = |reply: &mut oneshot::Receiver<_>| {
+            !matches!(reply.try_recv(), Err(oneshot::error::TryRecvError::Empty))
+        };
+        if self.reply.as_mut().is_some_and(|reply| !answered(reply)) {
+            // The queue must hold no place for a call that is over: its receiver goes first.
+            self.reply = None;
+            // An engine that has ended has no use for it.
+            let _ = self.fleet.0.commands.send(Command::Gone(self.ticket.clone()));
+        }
+    }
+}
+
+/// A front that serves. It ends when it is stopped, dropped, or its fleet is shut down, and first answers what it has
+/// taken. As a future it is ready when it has ended.
+#[derive(Debug)]
+pub struct Serving {
+    _fleet: Fleet,
+    stop: Option<oneshot::Sender<()>>,
+    done: oneshot::Receiver<io::Result<()>>,
+}
+
+impl Serving {
+    /// Stops it as SIGTERM stops the daemon: new connections are taken for half a second yet, then connections close
+    /// between requests, and after 3 s more the rest.
+    pub fn stop(&mut self) {
+        self.stop = None;
+    }
+}
+
+impl Future for Serving {
+    type Output = io::Result<()>;
+
+    fn poll(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Self::Output> {
+        // Dropped with the fleet, it has ended too.
+        Pin::new(&mut self.done).poll(context).map(|done| done.unwrap_or(Ok(())))
+    }
+}
--- /dev/null
+++ b/library/src/layer.rs
@@ -0,0 +1,148 @@
+//! The daemon's front inside an application: a middleware for `tower`, and so for axum.
+
+use crate::context::CallContext;
+use crate::error::Error;
+use crate::fleet::Fleet;
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body::Body;
+use http_body_util::{BodyExt, Either, Full, LengthLimitError, Limited};
+use nettleworks::requests::{self, Answer};
+use nettleworks::server::WHOLE_TIME;
+use nettleworks_engine::http1::{BoxError, BODY_MOST};
+use std::future::Future;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use tokio::time::{timeout_at, Instant};
+use tower_layer::Layer;
+use tower_service::Service;
+
+/// The body of an answer: the fleet's, or the application's.
+pub type MiddlewareBody<B> = Either<Full<Bytes>, B>;
+
+/// Puts the daemon's front before an application: a request to one path goes over the fleet and gets the answer that
+/// the daemon gives, status, `Retry-After` and all; every other one goes on to the application, with its
+/// [`CallContext`].
+///
+/// Connections are the application's server's: its limits on slow, silent and idle clients, not the daemon's. It
+/// needs a tokio runtime with time.
+#[derive(Clone, Debug)]
+pub struct FleetLayer {
+    fleet: Fleet,
+    path: Arc<str>,
+    health: Option<Arc<str>>,
+}
+
+impl FleetLayer {
+    /// Takes over `/api`.
+    pub fn new(fleet: Fleet) -> FleetLayer {
+        FleetLayer { fleet, path: "/api".into(), health: None }
+    }
+
+    /// Takes over this path, and no longer the one before.
+    pub fn path(mut self, path: &str) -> FleetLayer {
+        self.path = path.into();
+        self
+    }
+
+    /// Answers at this path 200 when a list of hosts is in hand, and 503 until then.
+    pub fn health(mut self, path: &str) -> FleetLayer {
+        self.health = Some(path.into());
+        self
+    }
+}
+
+impl<S> Layer<S> for FleetLayer {
+    type Service = FleetMiddleware<S>;
+
+    fn layer(&self, inner: S) -> FleetMiddleware<S> {
+        FleetMiddleware { layer: self.clone(), inner }
+    }
+}
+
+/// What [`FleetLayer`] makes of an application.
+#[derive(Clone, Debug)]
+pub struct FleetMiddleware<S> {
+    layer: FleetLayer,
+    inner: S,
+}
+
+impl<S, B, C> Service<Request<B>> for FleetMiddleware<S>
+where
+    S: Service<Request<B>, Response = Response<C>>,
+    S::Future: Send + 'static,
+    S::Error: 'static,
+    B: Body<Data = Bytes> + Send + 'static,
+    B::Error: Into<BoxError>,
+{
+    type Response = Response<MiddlewareBody<C>>;
+    type Error = S::Error;
+    type Future = Pin<Box<dyn Future<Output = Result<Self::Response, S::Error>> + Send>>;
+
+    /// Ready when the application is. Whether the fleet has a place is for one path's requests only, which are
+    /// refused at once when it has none.
+    fn poll_ready(&mut self, context: &mut Context<'_>) -> Poll<Result<(), S::Error>> {
+        self.inner.poll_ready(context)
+    }
+
+    fn call(&mut self, mut request: Request<B>) -> Self::Future {
+        let arrived = Instant::now();
+        let (fleet, path) = (self.layer.fleet.clone(), request.uri().path());
+        if *path == *self.layer.path {
+            return Box::pin(async move { Ok(pass_on(fleet, request, arrived).await.map(Either::Left)) });
+        }
+        if self.layer.health.as_deref() == Some(path) {
+            return Box::pin(async move {
+                let ready = fleet.is_ready().await == Ok(true);
+                let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+                Ok(requests::plain(status).map(Either::Left))
+            });
+        }
+        let context = CallContext::from_headers(request.headers(), arrived);
+        request.extensions_mut().insert(context);
+        let answer = self.inner.call(request);
+        Box::pin(async move { Ok(answer.await?.map(Either::Right)) })
+    }
+}
+
+/// What the daemon does with a request.
+async fn pass_on<B>(fleet: Fleet, request: Request<B>, arrived: Instant) -> Answer
+where
+    B: Body<Data = Bytes> + Send + 'static,
+    B::Error: Into<BoxError>,
+{
+    match requests::take_in(fleet.config(), request, arrived + WHOLE_TIME, Instant::now).await {
+        Ok((ask, forward)) => {
+            let call = fleet.place().and_then(|place| fleet.take_in(ask, forward, place));
+            let answer = match call {
+                Ok(call) => call.await,
+                Err(error) => Err(error),
+            };
+            answer.map_or_else(Error::into_answer, |answer| answer.map(Full::new))
+        }
+        Err(turned) => {
+            if let Some(rest) = turned.rest {
+                tokio::spawn(requests::drain(rest));
+            }
+            requests::unusable(turned.status)
+        }
+    }
+}
+
+/// A body, whole and within bounds by `until`; else the daemon's status for it.
+pub(crate) async fn read_whole<B>(body: B, until: Instant) -> Result<Bytes, StatusCode>
+where
+    B: Body<Data = Bytes>,
+    B::Error: Into<BoxError>,
+{
+    if body.size_hint().lower() > BODY_MOST as u64 {
+        return Err(StatusCode::PAYLOAD_TOO_LARGE);
+    }
+    match timeout_at(until, Limited::new(body, BODY_MOST).collect()).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(StatusCode::PAYLOAD_TOO_LARGE),
+        Ok(Err(_)) => Err(StatusCode::BAD_REQUEST),
+        Err(_) => Err(StatusCode::REQUEST_TIMEOUT),
+    }
+}
--- /dev/null
+++ b/library/tests/middleware.rs
@@ -0,0 +1,43 @@
+//! The daemon's suite against the axum middleware. What belongs to the listening side (`suite/listening.rs`) is not
+//! here: slow, silent and idle connections, their limits, and the stop are axum's server's, not the layer's.
+
+mod form {
+    use axum::http::{header, StatusCode};
+    use axum::Router;
+    use nettleworks_client::{Fleet, FleetLayer};
+    use std::net::SocketAddr;
+    use std::time::Duration;
+    use tokio::net::TcpListener;
+    use tokio::sync::oneshot;
+    use tokio::task::{spawn_local, JoinHandle};
+
+    pub use nettleworks_standins::*;
+
+    pub struct Middleware;
+
+    impl Form for Middleware {
+        async fn start(config: String, stop: oneshot::Receiver<()>) -> (SocketAddr, JoinHandle<()>) {
+            let fleet = Fleet::builder().text(&config).start().expect("a good configuration");
+            let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+            let address = listener.local_addr().expect("an address");
+            // What the daemon says to any other path; here the application does.
+            let other = || async { (StatusCode::NOT_FOUND, [(header::CONNECTION, "close")]) };
+            let layer = FleetLayer::new(fleet.clone()).health("/_health");
+            let app = Router::new().fallback(other).layer(layer);
+            let task = spawn_local(async move {
+                let stop = async {
+                    let _ = stop.await;
+                };
+                let served = axum::serve(listener, app).with_graceful_shutdown(stop).await;
+                served.expect("it served");
+                fleet.shutdown(Duration::from_secs(1)).await.expect("all is answered");
+            });
+            (address, task)
+        }
+    }
+
+    pub type Proxy = nettleworks_standins::Proxy<Middleware>;
+}
+
+#[path = "../../proxy/tests/suite/mod.rs"]
+mod suite;
--- /dev/null
+++ b/library/tests/serve.rs
@@ -0,0 +1,36 @@
+//! The daemon's suite against `fleet.serve`: the daemon's own front, on the library's engine.
+
+mod form {
+    use nettleworks_client::{listen, Fleet};
+    use std::net::SocketAddr;
+    use std::time::Duration;
+    use tokio::sync::oneshot;
+    use tokio::task::{spawn_local, JoinHandle};
+
+    pub use nettleworks_standins::*;
+
+    pub struct Served;
+
+    impl Form for Served {
+        async fn start(config: String, stop: oneshot::Receiver<()>) -> (SocketAddr, JoinHandle<()>) {
+            let fleet = Fleet::builder().text(&config).start().expect("a good configuration");
+            let listener = listen("127.0.0.1:0".parse().expect("an address")).expect("it listens");
+            let address = listener.local_addr().expect("an address");
+            let mut serving = fleet.serve(listener).expect("it serves");
+            let task = spawn_local(async move {
+                let _ = stop.await;
+                serving.stop();
+                serving.await.expect("it served");
+                fleet.shutdown(Duration::from_secs(1)).await.expect("all is answered");
+            });
+            (address, task)
+        }
+    }
+
+    pub type Proxy = nettleworks_standins::Proxy<Served>;
+}
+
+#[path = "../../proxy/tests/suite/listening.rs"]
+mod listening;
+#[path = "../../proxy/tests/suite/mod.rs"]
+mod suite;
