--- a/library/src/lib.rs
+++ b/library/src/lib.rs
@@ -50,7 +50,7 @@
 pub use error::{Error, StartError, Unfinished};
 pub use fleet::{Call, Fleet, Serving};
 pub use layer::{FleetLayer, FleetMiddleware, MiddlewareBody};
-pub use nettleworks::server::listen;
+pub use nettleworks::server::bind as listen;
 pub use nettleworks_engine::discovery::Health;
 pub use nettleworks_engine::protocol::Connections;
 pub use nettleworks_engine::state::{HostState, State};
--- a/proxy/src/server.rs
+++ b/proxy/src/server.rs
@@ -7,6 +7,7 @@
 use hyper_util::server::graceful::GracefulShutdown;
 use nettleworks_engine::http1::HEAD_MOST;
 use nettleworks_engine::socket::Socket;
+use socket2::{Domain, Protocol, Socket as Socket2, Type};
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::future::Future;
@@ -15,12 +16,12 @@
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::net::{TcpListener, TcpStream};
 use tokio::task::{spawn_local, yield_now, JoinHandle};
 use tokio::time::{interval, sleep, timeout, Instant, MissedTickBehavior};
 
 /// Connections that may wait to be accepted.
-const BACKLOG: u32 = 1_024;
+const BACKLOG: i32 = 1_024;
 /// How long new connections are still taken after the order to stop; they come for up to 0.4 s.
 const STOP_DELAY: Duration = Duration::from_millis(500);
 /// How long open requests are waited for after that: the longest deadline.
@@ -42,12 +43,19 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
 /// Listens at an address. A proxy that was killed leaves connections behind there, which must not keep the
-/// next one from starting.
+/// next one from starting. It is not yet bound to a runtime.
+pub fn bind(address: SocketAddr) -> io::Result<std::net::TcpListener> {
+    let socket = Socket2::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_reuse_address(true)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(BACKLOG)?;
+    Ok(socket.into())
+}
+
+/// As [`bind`], for the runtime that this is called from.
 pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
-    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
-    socket.set_reuseaddr(true)?;
-    socket.bind(address)?;
-    socket.listen(BACKLOG)
+    TcpListener::from_std(bind(address)?)
 }
 
 /// Serves until `stop` is done, then goes on for as long as new connections may come, then closes connections
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -23,6 +23,7 @@
 mod plan;
 mod proxy;
 mod registry;
+mod site;
 mod wait;
 
 pub use client::{request, Client, HEALTH};
@@ -36,4 +37,5 @@
 pub use plan::{Fault, Plan};
 pub use proxy::{Form, Inside, Program, Proxy};
 pub use registry::Registry;
+pub use site::{Inside as SiteInside, Site};
 pub use wait::{eventually, run, PATIENCE};
