--- a/engine/src/config.rs
+++ b/engine/src/config.rs
@@ -2,7 +2,7 @@
 
 use crate::discovery::List;
 use nettleworks_policy::Settings;
-use serde::Deserialize;
+use serde::{Deserialize, Deserializer};
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -35,8 +35,15 @@
     pub connect_timeout: Duration,
     /// How long hosts keep an idle connection.
     pub conn_idle: Duration,
+    /// Most calls that an application may have open through the library; `None`: a third of the descriptors.
+    pub calls: Option<usize>,
+    /// Places of the keys that are not known, outside the settings. They may be a later platform's, or slips.
+    pub unknown: Vec<String>,
+    /// Places of the settings that are not used here. The platform tells more than it takes.
+    pub unused: Vec<String>,
 }
 
+/// The file. What the platform tells and nothing here uses is named all the same: any other key is a slip.
 #[derive(Deserialize)]
 struct File {
     listen: SocketAddr,
@@ -47,20 +54,51 @@
     #[serde(default)]
     known: Option<List>,
     settings: Value,
+    #[serde(default)]
+    nettleworks: Own,
+    #[serde(default, rename = "name")]
+    _name: Told,
+    #[serde(default, rename = "peer_listen")]
+    _peer_listen: Told,
+    #[serde(default, rename = "peers")]
+    _peers: Told,
+    #[serde(default, rename = "peers_all")]
+    _peers_all: Told,
 }
 
 #[derive(Deserialize)]
 #[serde(default)]
 struct Limits {
     sockets: usize,
+    #[serde(rename = "cores")]
+    _cores: Told,
+    #[serde(rename = "memory_mb")]
+    _memory_mb: Told,
 }
 
 impl Default for Limits {
     fn default() -> Self {
-        Limits { sockets: 1_024 }
+        Limits { sockets: 1_024, _cores: Told, _memory_mb: Told }
+    }
+}
+
+/// What is told and not used: read, so that it is known, and dropped.
+#[derive(Default)]
+struct Told;
+
+impl<'de> Deserialize<'de> for Told {
+    fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Told, D::Error> {
+        Value::deserialize(from).map(|_| Told)
     }
 }
 
+/// Keys of our own. The platform sets none of them, so one that is not known is an error.
+#[derive(Default, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+struct Own {
+    calls: Option<usize>,
+}
+
 /// The part of the settings that is about connections; the rest is the decision module's.
 #[derive(Deserialize)]
 struct Site {
@@ -68,6 +106,9 @@
     limits: Connections,
 }
 
+/// Their places among the settings.
+const SITE: [&str; 2] = ["settings.limits.connect_timeout_us", "settings.limits.conn_idle_us"];
+
 #[derive(Deserialize)]
 #[serde(default)]
 struct Connections {
@@ -90,10 +131,28 @@
 
     /// Reads a configuration's text.
     pub fn parse(text: &str) -> Result<Config, String> {
-        let file: File = serde_json::from_str(text).map_err(|e| e.to_string())?;
+        let (mut unknown, mut unused) = (Vec::new(), Vec::new());
+        let mut json = serde_json::Deserializer::from_str(text);
+        let mut track = serde_path_to_error::Track::new();
+        let read: Result<File, _> = serde_ignored::deserialize(
+            serde_path_to_error::Deserializer::new(&mut json, &mut track),
+            // Where there may be a value or none, its place has a step of its own.
+            |path| unknown.push(path.to_string().replace(".?", "")),
+        );
+        let file = read.map_err(|error| match track.path().to_string() {
+            // The whole file has no place.
+            place if place == "." || place == "?" => error.to_string(),
+            place => format!("{place}: {error}"),
+        })?;
+        // A host's machine type is discovery's word, of which nothing here makes use.
+        unknown.retain(|place| !(place.starts_with("known.hosts.") && place.ends_with(".class")));
+        json.end().map_err(|error| error.to_string())?;
         let seed = u64::from_str_radix(&file.seed, 16).map_err(|e| format!("seed: {e}"))?;
-        let (settings, classes, tenants) =
-            nettleworks_settings::read(&file.settings).map_err(|e| format!("settings: {e}"))?;
+        let (settings, classes, tenants) = nettleworks_settings::read_noting(&file.settings, |place| {
+            unused.push(format!("settings.{place}"))
+        })
+        .map_err(|e| format!("settings.{e}"))?;
+        unused.retain(|place| !SITE.contains(&place.as_str()));
         let site = Site::deserialize(&file.settings).map_err(|e| format!("settings: {e}"))?.limits;
         if file.limits.sockets < 2 * SPARE_DESCRIPTORS {
             return Err(format!("limits: {} sockets are too few", file.limits.sockets));
@@ -109,6 +168,9 @@
             tenants,
             connect_timeout: Duration::from_micros(site.connect_timeout_us),
             conn_idle: Duration::from_micros(site.conn_idle_us),
+            calls: file.nettleworks.calls,
+            unknown,
+            unused,
         })
     }
 
--- a/library/src/builder.rs
+++ b/library/src/builder.rs
@@ -142,7 +142,7 @@
     pub fn start(self) -> Result<Fleet, StartError> {
         let text = self.config?.to_string();
         let config = Config::parse(&text).map_err(StartError::Configuration)?;
-        let calls = self.calls.unwrap_or(config.sockets / 3);
+        let calls = self.calls.or(config.calls).unwrap_or(config.sockets / 3);
         Fleet::start(config, calls, self.log)
     }
 }
--- a/proxy/src/main.rs
+++ b/proxy/src/main.rs
@@ -3,6 +3,7 @@
 
 use nettleworks::config::Config;
 use nettleworks::server;
+use std::ffi::OsString;
 use std::io::Write;
 use std::path::Path;
 use std::process::ExitCode;
@@ -10,8 +11,33 @@
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::task::LocalSet;
 
+const USAGE: &str = "\
+nettleworks: a client proxy that spreads an application's requests over a fleet of hosts
+
+usage:
+  nettleworks               serve, as the file that ROUTER_CONFIG names says
+  nettleworks FILE          serve, as this file says
+  nettleworks check FILE    say whether this file is a good configuration; exit status 1 if not
+  nettleworks --help        say this
+  nettleworks --version     say the version
+
+SIGHUP reads the file again; SIGTERM answers what was taken and ends. docs/configuration.md explains every key.";
+
 fn main() -> ExitCode {
-    match start() {
+    let words: Vec<OsString> = std::env::args_os().skip(1).collect();
+    let texts: Vec<&str> = words.iter().map(|word| word.to_str().unwrap_or_default()).collect();
+    let done = match texts[..] {
+        [] => match std::env::var_os("ROUTER_CONFIG") {
+            Some(path) => start(Path::new(&path)),
+            None => Err("ROUTER_CONFIG is not set; see nettleworks --help".to_owned()),
+        },
+        ["--help" | "-h"] => say(USAGE),
+        ["--version" | "-V"] => say(concat!("nettleworks ", env!("CARGO_PKG_VERSION"))),
+        ["check", _] => check(Path::new(&words[1])),
+        [word] if !word.starts_with('-') => start(Path::new(&words[0])),
+        _ => Err("usage: nettleworks [FILE | check FILE | --help | --version]".to_owned()),
+    };
+    match done {
         Ok(()) => ExitCode::SUCCESS,
         Err(reason) => {
             let _ = writeln!(std::io::stderr(), "nettleworks: {}", reason.replace('\n', " "));
@@ -20,9 +46,26 @@
     }
 }
 
-fn start() -> Result<(), String> {
-    let path = std::env::var_os("ROUTER_CONFIG").ok_or("ROUTER_CONFIG is not set")?;
-    let path = Path::new(&path);
+fn say(text: &str) -> Result<(), String> {
+    // Whoever asked may have stopped reading.
+    let _ = writeln!(std::io::stdout(), "{text}");
+    Ok(())
+}
+
+/// Says what is wrong with a file. A key outside the settings that is not known is a slip here; the daemon, which
+/// must start under a later platform too, only logs it.
+fn check(path: &Path) -> Result<(), String> {
+    let config = Config::load(path)?;
+    for place in &config.unused {
+        say(&format!("{place}: not used"))?;
+    }
+    if config.unknown.is_empty() {
+        return say(&format!("{}: good, {} classes", path.display(), config.classes.len()));
+    }
+    Err(format!("{}: unknown keys: {}", path.display(), config.unknown.join(", ")))
+}
+
+fn start(path: &Path) -> Result<(), String> {
     let runtime = runtime::Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string())?;
     LocalSet::new().block_on(&runtime, async {
         // First of all: a signal without a handler ends the program.
@@ -31,6 +74,9 @@
         let config = Config::load(path)?;
         let listener = server::listen(config.listen).map_err(|e| format!("{}: {e}", config.listen))?;
         let log = nettleworks_engine::log_to_stderr();
+        for place in &config.unknown {
+            log(&format!("configuration: {place}: unknown key, not used"));
+        }
         // Port 0 is any that is free.
         let address = listener.local_addr().map_err(|e| e.to_string())?;
         log(&format!("serving at {address}"));
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -92,7 +92,18 @@
 
 /// Settings, and the names of classes and tenants in their order.
 pub fn read(facts: &Value) -> Result<(Settings, Vec<String>, Vec<String>), String> {
-    let facts = Facts::deserialize(facts).map_err(|e| e.to_string())?;
+    read_noting(facts, |_| ())
+}
+
+/// As [`read`]; `unused` hears the place of each key that says nothing here. An error names its place too.
+pub fn read_noting(
+    facts: &Value,
+    mut unused: impl FnMut(String),
+) -> Result<(Settings, Vec<String>, Vec<String>), String> {
+    let mut track = serde_path_to_error::Track::new();
+    let tracked = serde_path_to_error::Deserializer::new(facts, &mut track);
+    let facts: Result<Facts, _> = serde_ignored::deserialize(tracked, |path| unused(path.to_string()));
+    let facts = facts.map_err(|error| format!("{}: {error}", track.path()))?;
     let mut classes = Vec::new();
     for class in &facts.classes {
         let scope = match class.dedup_scope.as_str() {
