Measure the library beside the daemon and a plain client; hold no read buffer with an answer

Profiled with perf: each attempt copied its large future several times, looked at every idle connection of its host (a system call each), and small answers kept the 8 KiB that their connection read into, which it then had to allocate anew.

Change: measure/ (one command a subsystem) with 'library'. An attempt's future is boxed, opening a connection in a box of its own; only the connection that is used is looked at, the others once a second; answers up to 4 KiB are copied.

--- a/engine/src/http1/exchange.rs
+++ b/engine/src/http1/exchange.rs
@@ -3,10 +3,11 @@
 use crate::protocol::{End, Meter};
 use crate::socket::Socket;
 use crate::task::{spawn, Task};
+use http::response::Parts;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Bytes;
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::header::{self, HeaderMap};
+use hyper::header::{self, HeaderMap, HeaderValue};
 use hyper::{Request, Response, StatusCode};
 use nettleworks_policy::{Load, Outcome};
 use std::error::Error;
@@ -28,6 +29,8 @@
 /// Time for the rest of an answer that is not passed on; past it the connection is given up instead.
 const REST: Duration = Duration::from_millis(20);
 
+/// Bodies up to this size are copied out of what their connection reads into; a larger one fills most of its own.
+const COPIED_MOST: usize = 4 << 10;
 /// A kept connection that breaks within this time of being written to was closed before the request came.
 const CROSSING: Duration = Duration::from_millis(20);
 
@@ -106,7 +109,7 @@
         (Outcome::Unknown, None, false)
     } else {
         match body.await {
-            Ok(body) => (Outcome::Served, Some(Response::from_parts(head, body.to_bytes())), true),
+            Ok(body) => (Outcome::Served, Some(detached(head, body.to_bytes())), true),
             // It has run, and what it said is lost.
             Err(error) => (broken(&*error), None, false),
         }
@@ -122,6 +125,21 @@
     Some((End { outcome, load, answer }, again.then_some(connection)))
 }
 
+/// An answer that holds nothing of what its connection reads into: whoever keeps a few bytes of one would keep all of
+/// that buffer, and the connection would need another for the next answer.
+fn detached(mut head: Parts, body: Bytes) -> Response<Bytes> {
+    if body.len() > COPIED_MOST {
+        return Response::from_parts(head, body);
+    }
+    for value in head.headers.values_mut() {
+        // What was a value is one.
+        if let Ok(copy) = HeaderValue::from_bytes(value.as_bytes()) {
+            *value = copy;
+        }
+    }
+    Response::from_parts(head, Bytes::copy_from_slice(&body))
+}
+
 /// Whether a head tells for sure where its body ends. Two lengths or two framings may be read in two ways, and
 /// what lasts until the connection ends may have been cut short.
 fn is_framed(headers: &HeaderMap) -> bool {
--- a/engine/src/http1/mod.rs
+++ b/engine/src/http1/mod.rs
@@ -113,7 +113,18 @@
                 return end;
             }
         }
-        // Nothing has been written yet, so this is no second sending.
+        // Nothing has been written yet, so this is no second sending. In a box: most attempts need none, and every
+        // attempt's task would have the size of one.
+        Box::pin(self.run_on_new(to, forward, until, meter)).await
+    }
+
+    async fn run_on_new(
+        self,
+        to: Target,
+        forward: Rc<Forward>,
+        until: Instant,
+        meter: Meter,
+    ) -> End<Response<Bytes>> {
         let Some(slot) = self.0.borrow_mut().slot() else {
             return End::without_answer(Outcome::NotSent);
         };
@@ -145,12 +156,14 @@
         let mut pool = self.0.borrow_mut();
         // A request must not cross its host's close: old ones and those closed meanwhile are passed over.
         let keep = pool.config.conn_idle.mul_f64(IDLE_PART);
-        let kept =
-            pool.hosts.get_mut(&to.server).filter(|host| host.address == to.address).and_then(|host| {
-                host.idle.retain(|(since, connection)| since.elapsed() < keep && connection.is_ready());
-                host.idle.pop().map(|(_, connection)| connection)
-            });
-        self.clone().run(to, kept, forward, until, meter.clone())
+        let host = pool.hosts.get_mut(&to.server).filter(|host| host.address == to.address);
+        let kept = host.and_then(|host| {
+            // Only the one that is used is looked at, which asks the system: the others may be many.
+            let fits = |kept: &(Instant, Connection)| kept.0.elapsed() < keep && kept.1.is_ready();
+            std::iter::from_fn(|| host.idle.pop()).find(fits).map(|(_, connection)| connection)
+        });
+        // In a box: the tasks and time-outs around it would copy it each time that they take it over.
+        Box::pin(self.clone().run(to, kept, forward, until, meter.clone()))
     }
 
     fn admit(&self, to: Target) {
@@ -168,7 +181,10 @@
     fn sweep(&self) {
         let mut pool = self.0.borrow_mut();
         let keep = pool.config.conn_idle.mul_f64(IDLE_PART);
-        pool.hosts.values_mut().for_each(|host| host.idle.retain(|(since, _)| since.elapsed() < keep));
+        // Those that their hosts have closed hold a descriptor for nothing.
+        pool.hosts.values_mut().for_each(|host| {
+            host.idle.retain(|(since, connection)| since.elapsed() < keep && connection.is_ready());
+        });
     }
 
     fn reload(&self, config: &Rc<Config>) {
--- /dev/null
+++ b/measure/src/main.rs
@@ -0,0 +1,35 @@
+//! `measure NAME [--full]`: measures a subsystem within 30 s, or at length. Progress goes to standard error; the last
+//! line of standard output is one JSON object with targets, and the exit status is 1 if one is missed.
+#![forbid(unsafe_code)]
+
+mod library;
+mod process;
+mod report;
+mod roles;
+
+use std::process::ExitCode;
+
+const USAGE: &str = "\
+usage: measure NAME [--full]
+  library    the library beside the daemon and a plain client: CPU for each request, times";
+
+fn main() -> ExitCode {
+    let words: Vec<String> = std::env::args().skip(1).collect();
+    let words: Vec<&str> = words.iter().map(String::as_str).collect();
+    let full = words.contains(&"--full");
+    let report = match words[..] {
+        ["library"] | ["library", "--full"] => library::measure(full),
+        // What a measurement starts of itself, as processes of their own.
+        ["role", name, argument] => return roles::run(name, argument),
+        _ => {
+            eprintln!("{USAGE}");
+            return ExitCode::FAILURE;
+        }
+    };
+    println!("{}", report.line());
+    if report.is_met() {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    }
+}
--- /dev/null
+++ b/measure/src/process.rs
@@ -0,0 +1,50 @@
+//! A role as a process of its own, so that its CPU time can be told from the load's.
+
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+
+/// A running role. It ends with this.
+#[derive(Debug)]
+pub struct Role {
+    child: Child,
+    /// Where it serves.
+    pub address: SocketAddr,
+}
+
+impl Role {
+    /// Starts this program again, in a role, an application with so many worker threads, and waits until it says where it serves.
+    pub fn start(name: &str, argument: &str, threads: usize) -> Role {
+        let program = std::env::current_exe().expect("this program's path");
+        let mut child = Command::new(program)
+            .args(["role", name, argument])
+            .env("THREADS", threads.to_string())
+            .stdin(Stdio::piped())
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("it starts");
+        let mut line = String::new();
+        BufReader::new(child.stdout.take().expect("piped")).read_line(&mut line).expect("a line");
+        let address = line.trim().parse().unwrap_or_else(|_| panic!("{name} said {line:?}"));
+        Role { child, address }
+    }
+
+    /// CPU time of all its threads so far, ended ones left out. The scheduler's own count, in nanoseconds.
+    pub fn cpu(&self) -> Duration {
+        let tasks = std::fs::read_dir(format!("/proc/{}/task", self.child.id())).expect("it runs");
+        let spent = |task: std::io::Result<std::fs::DirEntry>| {
+            let text = std::fs::read_to_string(task.ok()?.path().join("schedstat")).ok()?;
+            text.split(' ').next()?.parse::<u64>().ok()
+        };
+        Duration::from_nanos(tasks.filter_map(spent).sum())
+    }
+}
+
+impl Drop for Role {
+    fn drop(&mut self) {
+        // One that has ended already needs neither.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
--- /dev/null
+++ b/measure/src/roles.rs
@@ -0,0 +1,144 @@
+//! The processes that a measurement compares: an application that makes one call for each request, by one way or
+//! another, and the daemon.
+
+use axum::body::{Body, Bytes};
+use axum::extract::State;
+use axum::http::{HeaderName, Request, StatusCode};
+use axum::response::{IntoResponse, Response};
+use axum::Router;
+use http_body_util::{BodyExt, Full};
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::TokioExecutor;
+use nettleworks_client::{CallContext, Fleet};
+use nettleworks_engine::config::Config;
+use std::io::Read;
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::task::LocalSet;
+
+/// Longest that a call may take.
+const DEADLINE: Duration = Duration::from_secs(2);
+
+/// Runs a role until standard input ends.
+pub fn run(name: &str, argument: &str) -> ExitCode {
+    std::thread::spawn(|| {
+        // Whatever the end was, whoever started this has gone.
+        let _ = std::io::stdin().read_to_end(&mut Vec::new());
+        std::process::exit(0);
+    });
+    let threads = std::env::var("THREADS").ok().and_then(|threads| threads.parse().ok()).unwrap_or(1);
+    match name {
+        "daemon" => daemon(argument),
+        // To hosts, or to the daemon.
+        "plain" => {
+            application(
+                threads,
+                Way::Plain { client: plain(), to: addresses(argument), next: Arc::default() },
+            );
+        }
+        "library" => {
+            let fleet = Fleet::builder().text(argument).start().expect("a good configuration");
+            application(threads, Way::Library(fleet));
+        }
+        _ => return ExitCode::FAILURE,
+    }
+    ExitCode::SUCCESS
+}
+
+fn addresses(argument: &str) -> Arc<[SocketAddr]> {
+    argument.split(',').map(|address| address.parse().expect("an address")).collect()
+}
+
+type Plain = Client<hyper_util::client::legacy::connect::HttpConnector, Full<Bytes>>;
+
+fn plain() -> Plain {
+    let mut connector = hyper_util::client::legacy::connect::HttpConnector::new();
+    connector.set_nodelay(true);
+    Client::builder(TokioExecutor::new()).build(connector)
+}
+
+/// How the application makes its calls.
+#[derive(Clone)]
+enum Way {
+    /// By a pooled HTTP client, to each of these in turn: hosts, or the daemon.
+    Plain { client: Plain, to: Arc<[SocketAddr]>, next: Arc<AtomicUsize> },
+    /// By the library.
+    Library(Fleet),
+}
+
+/// What of a request its call says too.
+const SAID: [HeaderName; 4] = [
+    HeaderName::from_static("x-call-id"),
+    HeaderName::from_static("x-call-class"),
+    HeaderName::from_static("x-budget-ms"),
+    HeaderName::from_static("idempotency-key"),
+];
+
+async fn handle(State(way): State<Way>, context: CallContext, request: Request<Body>) -> Response {
+    let (head, body) = request.into_parts();
+    let Ok(body) = body.collect().await.map(|body| body.to_bytes()) else {
+        return StatusCode::BAD_REQUEST.into_response();
+    };
+    match way {
+        Way::Plain { client, to, next } => {
+            let to = to[next.fetch_add(1, Ordering::Relaxed) % to.len()];
+            let mut call = Request::builder().method(head.method).uri(format!("http://{to}/api"));
+            for name in &SAID {
+                if let Some(value) = head.headers.get(name) {
+                    call = call.header(name, value);
+                }
+            }
+            let call = call.body(Full::new(body)).expect("a request");
+            match tokio::time::timeout(DEADLINE, client.request(call)).await {
+                Ok(Ok(answer)) => {
+                    let status = answer.status();
+                    match answer.into_body().collect().await {
+                        Ok(body) => (status, body.to_bytes()).into_response(),
+                        Err(_) => StatusCode::BAD_GATEWAY.into_response(),
+                    }
+                }
+                _ => StatusCode::BAD_GATEWAY.into_response(),
+            }
+        }
+        Way::Library(fleet) => {
+            let mut call = Request::builder().method(head.method).uri("/api").body(body).expect("a request");
+            context.apply(&mut call);
+            match fleet.call(call, DEADLINE).await {
+                Ok(answer) => answer.into_body().into_response(),
+                Err(error) => error.into_answer().map(Body::new),
+            }
+        }
+    }
+}
+
+/// An application with so many worker threads.
+fn application(threads: usize, way: Way) {
+    let runtime = match threads {
+        1 => tokio::runtime::Builder::new_current_thread().enable_all().build(),
+        _ => tokio::runtime::Builder::new_multi_thread().worker_threads(threads).enable_all().build(),
+    };
+    runtime.expect("a runtime").block_on(async {
+        if let Way::Library(fleet) = &way {
+            fleet.ready().await.expect("it runs");
+        }
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        println!("{}", listener.local_addr().expect("an address"));
+        let app = Router::new().fallback(handle).with_state(way);
+        axum::serve(listener, app).await.expect("it serves");
+    });
+}
+
+fn daemon(config: &str) {
+    let config = Config::parse(config).expect("a good configuration");
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    LocalSet::new().block_on(&runtime, async {
+        let listener = nettleworks::server::listen(config.listen).expect("it listens");
+        println!("{}", listener.local_addr().expect("an address"));
+        let log = std::rc::Rc::new(|_: &str| ());
+        nettleworks::run(config, log, listener, async || None, std::future::pending()).await;
+    });
+}
