--- /dev/null
+++ b/keys/src/store.rs
@@ -0,0 +1,586 @@
+//! The state machine.
+
+use crate::bounds::Bounds;
+use siphasher::sip::SipHasher13;
+use siphasher::sip128::{Hasher128, SipHasher24};
+use std::collections::{BTreeSet, HashMap};
+use std::hash::{BuildHasher, Hasher};
+
+/// A moment, in microseconds.
+pub type Micros = u64;
+
+/// A request that waits, as whoever drives the store numbers it; no two that wait have one number.
+pub type WaiterId = u64;
+
+/// What tells one request from another under the same key: a keyed hash of what it asks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Digest(u128);
+
+/// What kind of class a request is of.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// Hosts know the key too, and drop repeats for a while.
+    Keyed,
+    /// Only this store knows the key: a second run is harm for good.
+    Unsafe,
+}
+
+/// A request with a key.
+#[derive(Clone, Copy, Debug)]
+pub struct Request<'a> {
+    /// Whose it is.
+    pub tenant: Option<u32>,
+    /// Its class.
+    pub class: u32,
+    /// The class's kind.
+    pub kind: Kind,
+    /// Its key, as it came.
+    pub key: &'a [u8],
+    /// Its digest, by [`Store::digest`].
+    pub digest: Digest,
+}
+
+/// A running call. It names this one run for good: a key that runs again has another.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Slot {
+    place: usize,
+    serial: u64,
+}
+
+/// Why a request is not held, or an answer no longer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Cause {
+    /// All entries are running or unsure.
+    Entries,
+    /// All of its tenant's are.
+    Tenant,
+    /// As many wait for this key as may.
+    Waiters,
+}
+
+/// What a request gets.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Arrival<A> {
+    /// It is the first: it is to be sent, and its end told.
+    First(Slot),
+    /// It waits with the first.
+    Joined {
+        /// For which call.
+        slot: Slot,
+        /// It waits longer than all others: the call is wanted until its deadline now.
+        longest: bool,
+    },
+    /// The first's answer.
+    Replay(A),
+    /// The first ran and was answered, and its answer is no longer kept: no new attempt.
+    Forgotten,
+    /// The first may have run, and nobody knows: the failure again, no new attempt.
+    Unsure,
+    /// Another request had this key: an error, 422.
+    Mismatch,
+    /// The key is empty or too long: an error, 400.
+    BadKey,
+    /// There is no room, and it can do without: it goes on as if there were no store.
+    Pass(Cause),
+    /// There is no room, and without it there may be harm: it is refused, and never ran.
+    Refused(Cause),
+}
+
+/// How a running call ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum End<A> {
+    /// It was answered.
+    Served {
+        /// The answer.
+        answer: A,
+        /// How many bytes it holds.
+        bytes: usize,
+    },
+    /// It may have run, and there is no answer.
+    Unsure,
+    /// It surely never ran.
+    NeverRan,
+}
+
+/// Who hears of an end.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Ended {
+    /// Those who get it, in the order in which they came.
+    pub waiters: Vec<WaiterId>,
+    /// The one that is sent now, under the same slot: it becomes the first.
+    pub next: Option<WaiterId>,
+}
+
+/// What is left of a call when one who waited has gone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Left {
+    /// Others wait.
+    Others,
+    /// Nobody does: it is to be called off, and its end told.
+    Nobody,
+    /// It had ended, or did not wait.
+    Nothing,
+}
+
+/// What has been done so far, by cause.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Requests that became the first of their key, again after one that never ran included.
+    pub firsts: u64,
+    /// Repeats that waited with the first.
+    pub joined: u64,
+    /// Repeats that got its answer later.
+    pub replayed: u64,
+    /// Repeats that got its failure.
+    pub unsure: u64,
+    /// Repeats whose answer was no longer kept.
+    pub forgotten: u64,
+    /// Other requests under a key that was taken.
+    pub mismatched: u64,
+    /// Requests with a key that cannot be one.
+    pub bad_keys: u64,
+    /// Requests that passed by for want of room, by cause.
+    pub passed: [u64; 3],
+    /// Requests refused for want of room, by cause.
+    pub refused: [u64; 3],
+    /// Answers that were given up for others, before their time.
+    pub shrunk: u64,
+    /// Keys that were.
+    pub evicted: u64,
+    /// Keys whose time was up.
+    pub expired: u64,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Key {
+    tenant: Option<u32>,
+    class: u32,
+    key: Box<[u8]>,
+}
+
+#[derive(Debug)]
+enum State<A> {
+    /// Those who wait, in the order in which they came, with their deadlines.
+    Running(Vec<(WaiterId, Micros)>),
+    /// `None`: a marker, its answer was given up.
+    Answered {
+        until: Micros,
+        answer: Option<(A, usize)>,
+    },
+    Unsure {
+        until: Micros,
+    },
+}
+
+#[derive(Debug)]
+struct Entry<A> {
+    key: Key,
+    serial: u64,
+    kind: Kind,
+    digest: Digest,
+    state: State<A>,
+}
+
+/// What may be given up, the first to end by itself first. An entry is in one of the two at most.
+#[derive(Debug, Default)]
+struct Spare {
+    /// Answers, which shrink to a marker.
+    answers: BTreeSet<(Micros, usize)>,
+    /// What can go whole.
+    rest: BTreeSet<(Micros, usize)>,
+}
+
+#[derive(Debug, Default)]
+struct Tenant {
+    entries: usize,
+    spare: Spare,
+}
+
+/// Hashes with a seed, so that nobody who does not know it can make keys that collide.
+#[derive(Clone, Copy, Debug)]
+struct Seeded(u64, u64);
+
+impl BuildHasher for Seeded {
+    type Hasher = SipHasher13;
+
+    fn build_hasher(&self) -> SipHasher13 {
+        SipHasher13::new_with_keys(self.0, self.1)
+    }
+}
+
+/// The store. `A` is an answer; it is cloned for each repeat and should be cheap to clone.
+///
+/// Its work for one event does not grow with what it holds, but for the logarithm of an ordered set.
+#[derive(Debug)]
+pub struct Store<A> {
+    seed: Seeded,
+    bounds: Bounds,
+    places: HashMap<Key, usize, Seeded>,
+    entries: Vec<Option<Entry<A>>>,
+    free: Vec<usize>,
+    next_serial: u64,
+    tenants: HashMap<Option<u32>, Tenant, Seeded>,
+    spare: Spare,
+    /// All that ends by itself.
+    ends: BTreeSet<(Micros, usize)>,
+    /// Those who wait, by deadline.
+    waiting: BTreeSet<(Micros, WaiterId, usize)>,
+    bytes: usize,
+    counts: Counts,
+}
+
+/// How many entries whose time is up go with one event: a crowd that ends at once must not hold up the next request.
+const EXPIRE_MOST: usize = 16;
+
+impl<A: Clone> Store<A> {
+    /// An empty store. The seed should not be known outside.
+    pub fn new(seed: u64, bounds: Bounds) -> Self {
+        let seed = Seeded(seed, seed.rotate_left(32) ^ 0x9e37_79b9_7f4a_7c15);
+        Store {
+            seed,
+            bounds,
+            places: HashMap::with_hasher(seed),
+            entries: Vec::new(),
+            free: Vec::new(),
+            next_serial: 0,
+            tenants: HashMap::with_hasher(seed),
+            spare: Spare::default(),
+            ends: BTreeSet::new(),
+            waiting: BTreeSet::new(),
+            bytes: 0,
+            counts: Counts::default(),
+        }
+    }
+
+    /// Goes on under other bounds. Nothing is dropped for it: what is over a bound goes as room is needed, and what
+    /// is remembered keeps the time that it was given.
+    pub fn rebound(&mut self, bounds: Bounds) {
+        self.bounds = bounds;
+    }
+
+    /// A digest of these parts, in their order; where one ends counts. 128 bits under the store's seed: nobody who
+    /// does not know it can make two requests that have one digest.
+    pub fn digest(&self, parts: &[&[u8]]) -> Digest {
+        let mut hasher = SipHasher24::new_with_keys(self.seed.1, self.seed.0);
+        for part in parts {
+            hasher.write_u64(part.len() as u64);
+            hasher.write(part);
+        }
+        Digest(hasher.finish128().as_u128())
+    }
+
+    /// What has been done so far.
+    pub fn counts(&self) -> Counts {
+        self.counts
+    }
+
+    /// Keys that are held, those whose time is up and that have not gone yet included.
+    pub fn len(&self) -> usize {
+        self.places.len()
+    }
+
+    /// Whether no key is held.
+    pub fn is_empty(&self) -> bool {
+        self.places.is_empty()
+    }
+
+    /// Bytes of the answers that are kept.
+    pub fn answer_bytes(&self) -> usize {
+        self.bytes
+    }
+
+    /// A request comes, which waits until `deadline`. Under a number of its own it waits for an end where it is the
+    /// first or joins, and only then.
+    pub fn arrive(
+        &mut self,
+        now: Micros,
+        request: &Request,
+        waiter: WaiterId,
+        deadline: Micros,
+    ) -> Arrival<A> {
+        self.expire(now);
+        if request.key.is_empty() || request.key.len() > self.bounds.key_bytes {
+            self.counts.bad_keys += 1;
+            return Arrival::BadKey;
+        }
+        let key = Key { tenant: request.tenant, class: request.class, key: request.key.into() };
+        if let Some(&place) = self.places.get(&key) {
+            if self.has_ended(now, place) {
+                self.remove(place);
+                self.counts.expired += 1;
+            } else {
+                return self.repeat(place, request, waiter, deadline);
+            }
+        }
+        if let Err(cause) = self.make_room(key.tenant) {
+            return match request.kind {
+                Kind::Keyed => {
+                    self.counts.passed[cause as usize] += 1;
+                    Arrival::Pass(cause)
+                }
+                Kind::Unsafe => {
+                    self.counts.refused[cause as usize] += 1;
+                    Arrival::Refused(cause)
+                }
+            };
+        }
+        self.counts.firsts += 1;
+        let serial = self.next_serial;
+        self.next_serial += 1;
+        self.tenants.entry(key.tenant).or_default().entries += 1;
+        let place = self.free.pop().unwrap_or_else(|| {
+            self.entries.push(None);
+            self.entries.len() - 1
+        });
+        self.places.insert(key.clone(), place);
+        self.waiting.insert((deadline, waiter, place));
+        let state = State::Running(vec![(waiter, deadline)]);
+        let (kind, digest) = (request.kind, request.digest);
+        self.entries[place] = Some(Entry { key, serial, kind, digest, state });
+        Arrival::First(Slot { place, serial })
+    }
+
+    fn repeat(&mut self, place: usize, request: &Request, waiter: WaiterId, deadline: Micros) -> Arrival<A> {
+        let Some(entry) = &mut self.entries[place] else { return Arrival::Unsure };
+        if entry.digest != request.digest {
+            self.counts.mismatched += 1;
+            return Arrival::Mismatch;
+        }
+        match &mut entry.state {
+            State::Running(waiters) if waiters.len() >= self.bounds.waiters => {
+                self.counts.refused[Cause::Waiters as usize] += 1;
+                Arrival::Refused(Cause::Waiters)
+            }
+            State::Running(waiters) => {
+                let longest = waiters.iter().all(|&(_, other)| other < deadline);
+                waiters.push((waiter, deadline));
+                self.waiting.insert((deadline, waiter, place));
+                self.counts.joined += 1;
+                Arrival::Joined { slot: Slot { place, serial: entry.serial }, longest }
+            }
+            State::Answered { answer: Some((answer, _)), .. } => {
+                self.counts.replayed += 1;
+                Arrival::Replay(answer.clone())
+            }
+            State::Answered { answer: None, .. } => {
+                self.counts.forgotten += 1;
+                Arrival::Forgotten
+            }
+            State::Unsure { .. } => {
+                self.counts.unsure += 1;
+                Arrival::Unsure
+            }
+        }
+    }
+
+    /// One who waited has gone.
+    pub fn gone(&mut self, slot: Slot, waiter: WaiterId) -> Left {
+        let Some(waiters) = self.running(slot) else { return Left::Nothing };
+        let Some(at) = waiters.iter().position(|&(id, _)| id == waiter) else { return Left::Nothing };
+        let (_, deadline) = waiters.remove(at);
+        let left = if waiters.is_empty() { Left::Nobody } else { Left::Others };
+        self.waiting.remove(&(deadline, waiter, slot.place));
+        left
+    }
+
+    /// When the first of those who wait no longer does.
+    pub fn next_deadline(&self) -> Option<Micros> {
+        self.waiting.first().map(|&(deadline, ..)| deadline)
+    }
+
+    /// One whose time is up now, if there is one, and what is left of its call. Each is told of once; it gets the
+    /// failure, as its call may have run or may yet.
+    pub fn overdue(&mut self, now: Micros) -> Option<(Slot, WaiterId, Left)> {
+        let &(deadline, waiter, place) = self.waiting.first()?;
+        if deadline > now {
+            return None;
+        }
+        let serial = self.entries[place].as_ref()?.serial;
+        let slot = Slot { place, serial };
+        let left = self.gone(slot, waiter);
+        Some((slot, waiter, left))
+    }
+
+    /// The running call of this slot has ended. After one that never ran, the next who waits becomes the first.
+    /// Says nothing of a slot that has ended before, but for an answer that comes when its call was given up as
+    /// unsure: that is kept.
+    pub fn ended(&mut self, now: Micros, slot: Slot, end: End<A>) -> Ended {
+        self.expire(now);
+        let Some(entry) = self.entries.get_mut(slot.place).and_then(Option::as_mut) else {
+            return Ended::default();
+        };
+        if entry.serial != slot.serial {
+            return Ended::default();
+        }
+        let waiters = match &mut entry.state {
+            State::Running(waiters) => std::mem::take(waiters),
+            State::Unsure { .. } if matches!(end, End::Served { .. }) => {
+                self.unlist(slot.place);
+                Vec::new()
+            }
+            State::Unsure { .. } | State::Answered { .. } => return Ended::default(),
+        };
+        let mut ended = Ended { waiters: waiters.iter().map(|&(id, _)| id).collect(), next: None };
+        match end {
+            End::NeverRan if waiters.len() > 1 => {
+                // The first hears of its own end; the next takes its place, and the others wait on.
+                let (first, deadline) = waiters[0];
+                ended = Ended { waiters: vec![first], next: Some(waiters[1].0) };
+                self.waiting.remove(&(deadline, first, slot.place));
+                self.set(slot.place, State::Running(waiters[1..].to_vec()));
+                self.counts.firsts += 1;
+                return ended;
+            }
+            End::NeverRan => self.remove(slot.place),
+            End::Unsure => {
+                let until = now.saturating_add(self.retention(slot.place).unsure);
+                self.set(slot.place, State::Unsure { until });
+                self.list(slot.place);
+            }
+            End::Served { answer, bytes } => {
+                let until = now.saturating_add(self.retention(slot.place).answered);
+                let answer = self.make_bytes(bytes).then_some((answer, bytes));
+                if answer.is_none() {
+                    self.counts.shrunk += 1;
+                }
+                self.bytes += answer.as_ref().map_or(0, |_| bytes);
+                self.set(slot.place, State::Answered { until, answer });
+                self.list(slot.place);
+            }
+        }
+        for (waiter, deadline) in waiters {
+            self.waiting.remove(&(deadline, waiter, slot.place));
+        }
+        ended
+    }
+
+    fn retention(&self, place: usize) -> crate::Retention {
+        let class = self.entries[place].as_ref().map_or(u32::MAX, |entry| entry.key.class);
+        self.bounds.retention(class)
+    }
+
+    fn running(&mut self, slot: Slot) -> Option<&mut Vec<(WaiterId, Micros)>> {
+        match self.entries.get_mut(slot.place)?.as_mut()? {
+            Entry { serial, state: State::Running(waiters), .. } if *serial == slot.serial => Some(waiters),
+            _ => None,
+        }
+    }
+
+    fn set(&mut self, place: usize, state: State<A>) {
+        if let Some(entry) = &mut self.entries[place] {
+            entry.state = state;
+        }
+    }
+
+    fn until(&self, place: usize) -> Option<Micros> {
+        match self.entries[place].as_ref()?.state {
+            State::Running(_) => None,
+            State::Answered { until, .. } | State::Unsure { until } => Some(until),
+        }
+    }
+
+    fn has_ended(&self, now: Micros, place: usize) -> bool {
+        self.until(place).is_some_and(|until| until <= now)
+    }
+
+    /// The sets in which an entry that has ended stands: what may be given up, and how.
+    fn list(&mut self, place: usize) {
+        let Some(until) = self.until(place) else { return };
+        self.ends.insert((until, place));
+        let Some(entry) = &self.entries[place] else { return };
+        let tenant = self.tenants.entry(entry.key.tenant).or_default();
+        let of = |spare: &mut Spare| match (&entry.state, entry.kind) {
+            (State::Answered { answer: Some(_), .. }, _) => spare.answers.insert((until, place)),
+            (State::Answered { answer: None, .. }, _) | (State::Unsure { .. }, Kind::Keyed) => {
+                spare.rest.insert((until, place))
+            }
+            // Whether it ran nobody knows, and a second run is harm for good.
+            (State::Unsure { .. }, Kind::Unsafe) | (State::Running(_), _) => false,
+        };
+        of(&mut tenant.spare);
+        of(&mut self.spare);
+    }
+
+    fn unlist(&mut self, place: usize) {
+        let Some(until) = self.until(place) else { return };
+        self.ends.remove(&(until, place));
+        let Some(entry) = &self.entries[place] else { return };
+        let tenant = self.tenants.get_mut(&entry.key.tenant).map(|tenant| &mut tenant.spare);
+        for spare in tenant.into_iter().chain([&mut self.spare]) {
+            spare.answers.remove(&(until, place));
+            spare.rest.remove(&(until, place));
+        }
+    }
+
+    fn remove(&mut self, place: usize) {
+        self.unlist(place);
+        let Some(entry) = self.entries[place].take() else { return };
+        self.places.remove(&entry.key);
+        self.free.push(place);
+        if let State::Answered { answer: Some((_, bytes)), .. } = entry.state {
+            self.bytes -= bytes;
+        }
+        if let Some(tenant) = self.tenants.get_mut(&entry.key.tenant) {
+            tenant.entries -= 1;
+            if tenant.entries == 0 {
+                self.tenants.remove(&entry.key.tenant);
+            }
+        }
+    }
+
+    fn expire(&mut self, now: Micros) {
+        for _ in 0..EXPIRE_MOST {
+            let Some(&(until, place)) = self.ends.first() else { return };
+            if until > now {
+                return;
+            }
+            self.remove(place);
+            self.counts.expired += 1;
+        }
+    }
+
+    /// Gives an answer up; a marker of it stays.
+    fn shrink(&mut self, place: usize) {
+        self.unlist(place);
+        if let Some(Entry { state: State::Answered { answer, .. }, .. }) = &mut self.entries[place] {
+            if let Some((_, bytes)) = answer.take() {
+                self.bytes -= bytes;
+                self.counts.shrunk += 1;
+            }
+        }
+        self.list(place);
+    }
+
+    /// Room for an answer of so many bytes: older ones shrink for it.
+    fn make_bytes(&mut self, bytes: usize) -> bool {
+        if bytes > self.bounds.answer_bytes {
+            return false;
+        }
+        while self.bytes + bytes > self.bounds.answer_bytes {
+            let Some(&(_, place)) = self.spare.answers.first() else { return false };
+            self.shrink(place);
+        }
+        true
+    }
+
+    /// Room for one more key of a tenant: what can go of its own, where it has as many as it may; else of anybody's.
+    /// Markers and the like go before whole answers do.
+    fn make_room(&mut self, tenant: Option<u32>) -> Result<(), Cause> {
+        let first = |spare: &Spare| spare.rest.first().or(spare.answers.first()).map(|&(_, place)| place);
+        let own = self.tenants.get(&tenant);
+        if own.map_or(0, |own| own.entries) >= self.bounds.entries_a_tenant {
+            let place = own.and_then(|own| first(&own.spare)).ok_or(Cause::Tenant)?;
+            self.evict(place);
+        }
+        if self.places.len() >= self.bounds.entries {
+            let place = first(&self.spare).ok_or(Cause::Entries)?;
+            self.evict(place);
+        }
+        Ok(())
+    }
+
+    fn evict(&mut self, place: usize) {
+        self.remove(place);
+        self.counts.evicted += 1;
+    }
+}
