Hold idempotency keys at the edge: repeats wait for one call or get what is known of it

Need: members tap twice and clients retry up to 3 times; hosts drop repeats for 1.2 s within one pod, and an unsafe class that carries a key was turned away.

Change: engine/src/keyed.rs drives the store: a repeat joins the running call under its own id and deadline, the call goes on until the last who waits has gone, and after one that never ran the next becomes the first. Off without it.

Measured: 250 charges and 250 entries, each sent 2 to 5 times with stalls, resets, garbled answers and a host killed: no charge twice, no entry outside its pod, one answer a key; with the store off keys run again.

--- a/engine/src/calls.rs
+++ b/engine/src/calls.rs
@@ -2,7 +2,10 @@
 
 use crate::protocol::{Meter, Protocol};
 use crate::task::Task;
+use hyper::body::Bytes;
+use nettleworks_keys::{Kind, Slot};
 use nettleworks_policy::{CallId, ClassId, Event, Load, Micros, Outcome, ServerId, TenantId};
+use std::cell::Cell;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -23,6 +26,17 @@
     pub deadline: Instant,
     /// The client has tried before.
     pub resent: bool,
+    /// Its idempotency key, where the store of keys is to know it.
+    pub key: Option<AskKey>,
+}
+
+/// An idempotency key for the store of keys.
+#[derive(Clone, Debug)]
+pub struct AskKey {
+    /// What hosts know of it.
+    pub kind: Kind,
+    /// The key, as it came.
+    pub key: Bytes,
 }
 
 /// The one final answer of a request.
@@ -36,6 +50,19 @@
     Failed,
     /// Its id is that of an open call: hosts would take the two for one. It never ran.
     IdOpen,
+    /// Its key belongs to another request. It never ran.
+    KeyTaken,
+    /// Its key cannot be one. It never ran.
+    BadKey,
+}
+
+/// Who waits for a call.
+#[derive(Debug)]
+pub(crate) enum Owner<A> {
+    /// One caller.
+    One(Caller<A>),
+    /// All who wait for a key, in the store of keys.
+    Key(Slot),
 }
 
 /// Who waits for a call's answer.
@@ -61,12 +88,23 @@
     pub request: Rc<P::Request>,
     pub deadline: Instant,
     /// `None`: it is over.
-    pub caller: Option<Caller<P::Answer>>,
+    pub caller: Option<Owner<P::Answer>>,
+    /// Its end may move while it runs, for one that is owned by a key.
+    pub limit: Option<Rc<Cell<Instant>>>,
+    /// The key whose call it was, once nobody waits for it any more.
+    pub late: Option<Slot>,
+    /// An attempt has ended of which it is not sure that it never ran.
+    pub may_have_run: bool,
     /// `None`: that attempt has ended.
     pub attempts: Vec<Option<Attempt>>,
 }
 
 impl<P: Protocol> Call<P> {
+    /// Whether any attempt so far may have run.
+    pub fn may_have_run(&self) -> bool {
+        self.may_have_run || self.attempts.iter().flatten().any(|out| out.meter.get() > 0)
+    }
+
     /// Ends the attempts that are unwanted and of which nothing is written yet. Unlike one that is called off,
     /// such an attempt surely never ran.
     pub fn withdraw(
--- a/engine/src/driver.rs
+++ b/engine/src/driver.rs
@@ -1,9 +1,10 @@
 //! Drives the decision module: turns what happens on the sockets into its events, in one order and on one
 //! clock, and carries out its actions. It decides nothing itself.
 
-use crate::calls::{ended, Ask, Attempt, Call, Caller, Reply};
+use crate::calls::{ended, Ask, Attempt, Call, Caller, Owner, Reply};
 use crate::config::Config;
 use crate::discovery::{self, Health, List};
+use crate::keyed::Keyed;
 use crate::protocol::{End, Meter, Protocol, Target};
 use crate::state::{HostState, State};
 use crate::task::{self, Task};
@@ -12,7 +13,7 @@
 use nettleworks_policy::{
     Action, Balancer, CallId, CellId, Entry, Event, ListKind, Micros, Outcome, ServerId,
 };
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -31,7 +32,7 @@
 /// The proxy's clock: it counts from Unix time at the start, so that start times of hosts can be told in it,
 /// and never goes back, whatever is done to the system's clock.
 #[derive(Clone, Copy, Debug)]
-struct Clock {
+pub(crate) struct Clock {
     start: Instant,
     origin: Micros,
 }
@@ -42,11 +43,11 @@
         Clock { start: Instant::now(), origin: unix.as_micros() as Micros }
     }
 
-    fn at(&self, instant: Instant) -> Micros {
+    pub(crate) fn at(&self, instant: Instant) -> Micros {
         self.origin + instant.saturating_duration_since(self.start).as_micros() as Micros
     }
 
-    fn instant(&self, at: Micros) -> Instant {
+    pub(crate) fn instant(&self, at: Micros) -> Instant {
         self.start + Duration::from_micros(at.saturating_sub(self.origin))
     }
 }
@@ -73,14 +74,14 @@
     }
 }
 
-struct Driver<P: Protocol> {
-    clock: Clock,
+pub(crate) struct Driver<P: Protocol> {
+    pub(crate) clock: Clock,
     protocol: Rc<P>,
     log: Log,
-    config: Rc<Config>,
+    pub(crate) config: Rc<Config>,
     balancer: Balancer,
-    events: VecDeque<Event>,
-    calls: BTreeMap<CallId, Call<P>>,
+    pub(crate) events: VecDeque<Event>,
+    pub(crate) calls: BTreeMap<CallId, Call<P>>,
     next_call: u64,
     hosts: HashMap<ServerId, Host>,
     names: HashMap<String, ServerId>,
@@ -92,9 +93,11 @@
     watches: u64,
     /// When the module wants to be woken next, and what tells the one timer of a change.
     wake: Option<Instant>,
-    woken: Rc<Notify>,
+    pub(crate) woken: Rc<Notify>,
     /// Ids of the calls that are open: no second one may have one of them.
-    open: HashSet<P::Id>,
+    pub(crate) open: HashSet<P::Id>,
+    /// Where it is on.
+    pub(crate) keyed: Option<Keyed<P>>,
     counts: Counts,
     /// Who watches the state.
     shown: watch::Sender<State>,
@@ -152,6 +155,7 @@
             wake: None,
             woken: Rc::default(),
             open: HashSet::new(),
+            keyed: Keyed::new(&config),
             counts: Counts::default(),
             shown: watch::Sender::default(),
             config: config.clone(),
@@ -185,7 +189,9 @@
 
     /// How many calls wait for their answer.
     pub fn waiting(&self) -> usize {
-        self.0.borrow().calls.values().filter(|call| call.caller.is_some()).count()
+        let driver = self.0.borrow();
+        let plain = |call: &&Call<P>| matches!(call.caller, Some(Owner::One(_)));
+        driver.calls.values().filter(plain).count() + driver.keyed.as_ref().map_or(0, Keyed::waiting)
     }
 
     /// The configuration.
@@ -202,6 +208,10 @@
         (driver.log)(&format!("configuration read again, discovery at {}{left}", config.discovery));
         driver.config = Rc::new(config);
         driver.protocol.reload(&driver.config);
+        let Driver { keyed, config, .. } = &mut *driver;
+        if let (Some(keyed), Some(keys)) = (keyed, &config.keys) {
+            keyed.store.rebound(keys.bounds.clone());
+        }
         if moved {
             driver.subscribe(self);
         }
@@ -212,6 +222,10 @@
         let driver = self.0.borrow();
         let (calls, connections) = (driver.calls.len(), driver.protocol.connections());
         (driver.log)(&format!("{calls} calls, {connections:?}, {:?}", driver.counts));
+        if let Some(keyed) = &driver.keyed {
+            let (held, bytes) = (keyed.store.len(), keyed.store.answer_bytes());
+            (driver.log)(&format!("keys: {held} held, {bytes} bytes, {:?}", keyed.store.counts()));
+        }
     }
 
     /// Writes a line to the log.
@@ -249,27 +263,35 @@
     /// Takes a request in for a caller that is told of the answer elsewhere. [`Handle::gone`] with the id that
     /// comes back says that nobody waits any more.
     pub fn call(&self, ask: Ask<P::Id>, request: P::Request, caller: Caller<P::Answer>) -> CallId {
-        let Ask { id, class, tenant, deadline, resent } = ask;
         let mut driver = self.0.borrow_mut();
         driver.next_call += 1;
         let call = CallId(driver.next_call);
-        if !driver.open.insert(id.clone()) {
+        if !driver.open.insert(ask.id.clone()) {
             caller.answer(Reply::IdOpen);
             return call;
         }
         driver.counts.requests += 1;
-        let time_left = deadline.saturating_duration_since(Instant::now()).as_micros() as Micros;
-        let (request, attempts) = (Rc::new(request), Vec::new());
-        driver.calls.insert(call, Call { id, request, deadline, caller: Some(caller), attempts });
+        let taken = driver.keyed(call, &ask, request, caller);
+        let Ask { id, class, tenant, deadline, resent, .. } = ask;
+        let event = taken.map(|(owner, request)| {
+            driver.begin(call, id, request, deadline, owner);
+            let time_left = deadline.saturating_duration_since(Instant::now()).as_micros() as Micros;
+            Event::Request { call, class, tenant, time_left, resent }
+        });
         drop(driver);
-        self.run([Event::Request { call, class, tenant, time_left, resent }]);
+        self.run(event);
         call
     }
 
     /// Nobody waits for this call any more. Says nothing of one that is answered.
     pub fn gone(&self, id: CallId) {
         let mut driver = self.0.borrow_mut();
-        if driver.calls.get_mut(&id).and_then(|call| call.caller.take()).is_some() {
+        if driver.left(id) {
+            drop(driver);
+            return self.run([]);
+        }
+        let plain = driver.calls.get(&id).is_some_and(|call| matches!(call.caller, Some(Owner::One(_))));
+        if plain && driver.calls.get_mut(&id).and_then(|call| call.caller.take()).is_some() {
             driver.events.push_back(Event::Gone { call: id });
             driver.tidy(id);
             drop(driver);
@@ -323,14 +345,17 @@
         let mut driver = self.0.borrow_mut();
         let Some(call) = driver.calls.get_mut(&id) else { return };
         let Some(out) = call.attempts.get_mut(attempt as usize).and_then(Option::take) else { return };
-        if let Some((caller, answer)) =
-            end.answer.take().and_then(|answer| Some((call.caller.take()?, answer)))
-        {
-            caller.answer(Reply::Served(answer));
-        }
+        let owner = end.answer.as_ref().and_then(|_| call.caller.take().or(call.late.map(Owner::Key)));
+        let served = owner.zip(end.answer.take());
+        call.may_have_run |= !end.outcome.never_ran();
         let (elapsed, closed) = (out.sent.elapsed().as_micros() as Micros, call.caller.is_none());
         let (outcome, load) = (end.outcome, end.load);
         driver.events.push_back(Event::Outcome { call: id, attempt, outcome, elapsed, closed, load });
+        match served {
+            Some((Owner::One(caller), answer)) => caller.answer(Reply::Served(answer)),
+            Some((Owner::Key(slot), answer)) => driver.settle(slot, Reply::Served(answer), true),
+            None => {}
+        }
         driver.tidy(id);
         drop(driver);
         self.run([]);
@@ -360,14 +385,19 @@
         let woken = self.0.borrow().woken.clone();
         loop {
             let wake = self.0.borrow().wake;
-            let due = async {
-                match wake {
+            let overdue = self.0.borrow().next_overdue();
+            let due = |at: Option<Instant>| async move {
+                match at {
                     Some(at) => sleep_until(at).await,
                     None => std::future::pending().await,
                 }
             };
             tokio::select! {
-                () = due => {
+                () = due(overdue) => {
+                    self.0.borrow_mut().overdue();
+                    self.run([]);
+                }
+                () = due(wake) => {
                     self.0.borrow_mut().wake = None;
                     self.run([Event::Timer]);
                 }
@@ -397,10 +427,26 @@
         }
     }
 
+    /// Begins a call; the module is to hear of it.
+    pub(crate) fn begin(
+        &mut self,
+        call: CallId,
+        id: P::Id,
+        request: Rc<P::Request>,
+        deadline: Instant,
+        owner: Owner<P::Answer>,
+    ) {
+        let limit = matches!(owner, Owner::Key(_)).then(|| Rc::new(Cell::new(deadline)));
+        let (caller, attempts, late, may_have_run) = (Some(owner), Vec::new(), None, false);
+        self.calls.insert(call, Call { id, request, deadline, caller, limit, late, may_have_run, attempts });
+    }
+
     fn send(&mut self, handle: &Handle<P>, id: CallId, server: ServerId, until: Option<Micros>) {
         let now = Instant::now();
         let Some(call) = self.calls.get_mut(&id) else { return };
         let attempt = call.attempts.len() as u32;
+        // Without an end of its own an attempt ends with its call, whose end may move.
+        let limit = call.limit.clone().filter(|_| until.is_none());
         let until = until.map_or(call.deadline, |at| self.clock.instant(at).min(call.deadline));
         let host = self.hosts.get(&server).filter(|host| host.health == Health::Ready);
         let Some(host) = host.filter(|_| call.caller.is_some() && now < until) else {
@@ -414,7 +460,11 @@
             let (handle, meter) = (handle.clone(), meter.clone());
             task::spawn(async move {
                 // It is over then, whatever the protocol does.
-                let end = timeout_at(until, exchange).await.unwrap_or_else(|_| match meter.get() {
+                let end = match limit {
+                    None => timeout_at(until, exchange).await.ok(),
+                    Some(limit) => until_moved(&limit, exchange).await,
+                };
+                let end = end.unwrap_or_else(|| match meter.get() {
                     0 => End::without_answer(Outcome::NoConnection),
                     _ => End::without_answer(Outcome::TimedOut),
                 });
@@ -432,20 +482,26 @@
         let Some(call) = self.calls.get_mut(&id) else { return };
         let Some(out) = call.attempts.get_mut(attempt as usize).and_then(Option::take) else { return };
         let closed = call.caller.is_none();
+        call.may_have_run |= out.meter.get() > 0;
         self.events.push_back(ended(id, attempt, Outcome::CalledOff, out.sent.elapsed(), closed));
         self.tidy(id);
     }
 
     fn answer(&mut self, id: CallId, reply: Reply<P::Answer>) {
-        if let Some(caller) = self.calls.get_mut(&id).and_then(|call| call.caller.take()) {
-            caller.answer(reply);
+        if let Some(call) = self.calls.get_mut(&id) {
+            let may_have_run = call.may_have_run();
+            match call.caller.take() {
+                Some(Owner::One(caller)) => caller.answer(reply),
+                Some(Owner::Key(slot)) => self.settle(slot, reply, may_have_run),
+                None => {}
+            }
         }
         self.tidy(id);
     }
 
     /// What is left of a call that is over: nothing more is sent for it, and it is forgotten once none of its
     /// attempts is out.
-    fn tidy(&mut self, id: CallId) {
+    pub(crate) fn tidy(&mut self, id: CallId) {
         let Some(call) = self.calls.get_mut(&id).filter(|call| call.caller.is_none()) else { return };
         call.withdraw(id, &mut self.events, |_| true);
         if call.attempts.iter().all(Option::is_none) {
@@ -542,7 +598,25 @@
             connections: self.protocol.connections(),
             requests: self.counts.requests,
             attempts: self.counts.attempts,
+            keys: self
+                .keyed
+                .as_ref()
+                .map(|keyed| (keyed.store.counts(), keyed.store.len(), keyed.store.answer_bytes())),
             outcomes: self.counts.outcomes.clone(),
         }
     }
 }
+
+/// What a future gives by a moment that may move on meanwhile.
+async fn until_moved<T>(limit: &Cell<Instant>, future: impl std::future::Future<Output = T>) -> Option<T> {
+    let mut future = std::pin::pin!(future);
+    loop {
+        let until = limit.get();
+        if let Ok(done) = timeout_at(until, &mut future).await {
+            return Some(done);
+        }
+        if limit.get() <= until {
+            return None;
+        }
+    }
+}
--- a/engine/src/http1/mod.rs
+++ b/engine/src/http1/mod.rs
@@ -9,7 +9,7 @@
 use exchange::{exchange, Connection};
 use http_body_util::Full;
 use hyper::body::Bytes;
-use hyper::header::{HeaderMap, HeaderValue};
+use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use hyper::{Method, Request, Response, Uri};
 use nettleworks_policy::{Outcome, ServerId};
 use std::cell::RefCell;
@@ -19,6 +19,8 @@
 use std::rc::Rc;
 use tokio::time::Instant;
 
+/// Marks an answer that was made for an earlier request with the same key.
+const REPLAYED: HeaderName = HeaderName::from_static("idempotency-replayed");
 /// Share of the time for which hosts keep an idle connection, after which it is no longer used.
 const IDLE_PART: f64 = 0.9;
 
@@ -146,6 +148,19 @@
     type Request = Forward;
     type Answer = Response<Bytes>;
 
+    fn identity(request: &Forward) -> Vec<&[u8]> {
+        let target = request.target.path_and_query().map_or("", |target| target.as_str());
+        vec![request.method.as_str().as_bytes(), target.as_bytes(), &request.body]
+    }
+
+    fn replayed(answer: &Response<Bytes>) -> (usize, Response<Bytes>) {
+        let head: usize =
+            answer.headers().iter().map(|(name, value)| name.as_str().len() + value.len()).sum();
+        let mut replayed = answer.clone();
+        replayed.headers_mut().insert(REPLAYED, HeaderValue::from_static("true"));
+        (head + answer.body().len(), replayed)
+    }
+
     fn attempt(
         &self,
         to: Target,
--- a/engine/src/lib.rs
+++ b/engine/src/lib.rs
@@ -12,11 +12,14 @@
 pub mod discovery;
 pub mod driver;
 pub mod http1;
+pub mod keyed;
 pub mod protocol;
 pub mod socket;
 pub mod state;
 pub mod task;
 
+pub use nettleworks_keys::{Counts as KeyCounts, Kind};
+
 use std::io::{self, Write};
 use std::rc::Rc;
 
--- a/engine/src/protocol.rs
+++ b/engine/src/protocol.rs
@@ -65,7 +65,13 @@
     /// What a call carries.
     type Request: 'static;
     /// A host's answer, whole.
-    type Answer: 'static;
+    type Answer: Clone + 'static;
+
+    /// What tells a request from another under the same idempotency key: all that a host's work depends on.
+    fn identity(request: &Self::Request) -> Vec<&[u8]>;
+
+    /// How many bytes an answer holds, and what it is when a repeat gets it.
+    fn replayed(answer: &Self::Answer) -> (usize, Self::Answer);
 
     /// One attempt: one exchange on one connection, which the protocol opens or has kept. It must write the
     /// request no more than once, and count in `meter` what it writes. The driver drops the future at `until`,
--- a/engine/src/state.rs
+++ b/engine/src/state.rs
@@ -2,6 +2,7 @@
 
 use crate::discovery::Health;
 use crate::protocol::Connections;
+use nettleworks_keys::Counts;
 use nettleworks_policy::Outcome;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -38,6 +39,8 @@
     pub requests: u64,
     /// Attempts sent so far.
     pub attempts: u64,
+    /// What the store of keys has done so far, where there is one, and how many keys and bytes of answers it holds.
+    pub keys: Option<(Counts, usize, usize)>,
     /// How attempts have ended so far.
     pub outcomes: BTreeMap<Outcome, u64>,
 }
--- a/library/src/builder.rs
+++ b/library/src/builder.rs
@@ -27,6 +27,7 @@
 pub struct Builder {
     config: Result<Value, StartError>,
     calls: Option<usize>,
+    keys: Option<String>,
     log: Box<dyn Fn(&str) + Send>,
 }
 
@@ -41,7 +42,7 @@
                 "invariants": {"cold_from": 0.3, "cold_us": 10_000_000, "ask_every_us": 5_000_000}
             }
         });
-        Builder { config: Ok(config), calls: None, log: Box::new(|_| ()) }
+        Builder { config: Ok(config), calls: None, keys: None, log: Box::new(|_| ()) }
     }
 }
 
@@ -122,6 +123,12 @@
         self
     }
 
+    /// Turns the store of idempotency keys on, as this text says (`docs/configuration.md`).
+    pub fn keys(mut self, text: &str) -> Self {
+        self.keys = Some(text.to_owned());
+        self
+    }
+
     /// Most calls that may be open; the default is a third of the descriptors, as the daemon's clients have it. One
     /// more is refused at once, and a [`tower_service::Service`] is not ready.
     pub fn calls(mut self, most: usize) -> Self {
@@ -141,7 +148,10 @@
     /// A configuration that the daemon would not start with, or no thread to be had.
     pub fn start(self) -> Result<Fleet, StartError> {
         let text = self.config?.to_string();
-        let config = Config::parse(&text).map_err(StartError::Configuration)?;
+        let mut config = Config::parse(&text).map_err(StartError::Configuration)?;
+        if let Some(keys) = &self.keys {
+            config = config.with_keys(keys).map_err(StartError::Configuration)?;
+        }
         let calls = self.calls.or(config.calls).unwrap_or(config.sockets / 3);
         Fleet::start(config, calls, self.log)
     }
--- a/library/src/fleet.rs
+++ b/library/src/fleet.rs
@@ -144,7 +144,8 @@
         let (mut ask, budget) = requests::ask(self.config(), &head.method, &head.headers, body.is_empty())
             .map_err(Error::Unusable)?;
         ask.deadline = until.min(Instant::now() + budget);
-        self.take_in(ask, requests::forward(head, body), place)
+        let forward = requests::forward(self.config(), &ask, head, body);
+        self.take_in(ask, forward, place)
     }
 
     /// An id and a time where the application has said none.
@@ -229,6 +230,17 @@
         self.0.commands.send(Command::Reload(Box::new(config))).map_err(ended)
     }
 
+    /// As [`Fleet::reload`], with other bounds and retentions for the store of keys, which keeps what it holds.
+    ///
+    /// # Errors
+    /// As there.
+    pub fn reload_with_keys(&self, text: &str, keys: &str) -> Result<(), StartError> {
+        let config = Config::parse(text).and_then(|config| config.with_keys(keys));
+        let config = config.map_err(StartError::Configuration)?;
+        let ended = |_| StartError::Configuration(Error::Closed.to_string());
+        self.0.commands.send(Command::Reload(Box::new(config))).map_err(ended)
+    }
+
     /// As [`Fleet::reload`], from a file.
     ///
     /// # Errors
@@ -307,6 +319,8 @@
             Ok(Reply::Refused(retry_after)) => Err(Error::Refused { retry_after }),
             Ok(Reply::Failed) => Err(Error::Failed),
             Ok(Reply::IdOpen) => Err(Error::Unusable(http::StatusCode::CONFLICT)),
+            Ok(Reply::KeyTaken) => Err(Error::Unusable(http::StatusCode::UNPROCESSABLE_ENTITY)),
+            Ok(Reply::BadKey) => Err(Error::Unusable(http::StatusCode::BAD_REQUEST)),
             // The engine has ended: it never took the call, or it may have run.
             Err(_) if self.ticket.load(Ordering::Acquire) == 0 => Err(Error::Closed),
             Err(_) => Err(Error::Failed),
--- /dev/null
+++ b/library/tests/keys.rs
@@ -0,0 +1,415 @@
+//! The store of keys on sockets: a repeat gets the first request's answer, and a charge never runs twice.
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use nettleworks_client::{listen, Error, Fleet, State};
+use nettleworks_standins::{request, Client, Dice, Fault, Host, Plan, Reader, Site};
+use std::collections::BTreeMap;
+use std::future::Future;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::runtime::Runtime;
+use tokio::task::JoinSet;
+
+const PATIENCE: Duration = Duration::from_secs(30);
+const SECONDS: Duration = Duration::from_secs(8);
+/// Hosts get the keys of charges here, so that their ledger counts runs by key.
+const KEYS: &str = r#"{"classes": {"unsafe": {"forward": true}}}"#;
+
+fn application() -> Runtime {
+    tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build().expect("a runtime")
+}
+
+fn run<T>(test: impl Future<Output = T>) -> T {
+    application()
+        .block_on(async { tokio::time::timeout(PATIENCE, test).await.expect("the test ends in time") })
+}
+
+async fn fleet(site: &Site, keys: &str) -> Fleet {
+    fleet_with(site, keys, |_| ()).await
+}
+
+async fn fleet_with(site: &Site, keys: &str, change: impl FnOnce(&mut serde_json::Value)) -> Fleet {
+    let fleet = Fleet::builder().text(&site.configuration(change)).keys(keys).start().expect("it starts");
+    fleet.ready().await.expect("it runs");
+    fleet
+}
+
+fn post(class: &str, key: &str) -> Request<Bytes> {
+    let body = Bytes::from(format!("pays {key}"));
+    let head = Request::post("/api").header("x-call-class", class).header("idempotency-key", key);
+    head.body(body).expect("a request")
+}
+
+fn replayed(answer: &Response<Bytes>) -> bool {
+    answer.headers().get("idempotency-replayed").is_some_and(|value| value == "true")
+}
+
+async fn shown(fleet: &Fleet, what: &str, met: impl FnMut(&State) -> bool) -> State {
+    let mut state = fleet.watch();
+    let shown = tokio::time::timeout(PATIENCE, state.wait_for(met)).await;
+    let state = shown.unwrap_or_else(|_| panic!("never: {what}")).expect("it runs").clone();
+    state
+}
+
+async fn joined(fleet: &Fleet, count: u64) {
+    shown(fleet, "they wait", |state| state.keys.is_some_and(|(counts, ..)| counts.joined == count)).await;
+}
+
+fn echoing(service: Duration) -> Plan {
+    Plan { service, echo: true, ..Plan::default() }
+}
+
+fn fault(fault: Fault) -> Plan {
+    Plan { faults: vec![(fault, 1.0)], echo: true, ..Plan::default() }
+}
+
+/// Repeats that come while the first runs wait with it, later ones get what is kept; each gets the first's answer,
+/// byte for byte, and the host has run it once. Another request under the key gets neither.
+#[test]
+fn a_repeat_gets_the_firsts_answer() {
+    let site = Site::start(vec![echoing(Duration::from_millis(300))]);
+    run(async {
+        let fleet = fleet(&site, KEYS).await;
+        let mut calls = JoinSet::new();
+        for _ in 0..5 {
+            calls.spawn(fleet.call(post("unsafe", "k1"), SECONDS));
+        }
+        let mut bodies = Vec::new();
+        let mut marked = 0;
+        while let Some(answer) = calls.join_next().await {
+            let answer = answer.expect("no panic").expect("served");
+            marked += usize::from(replayed(&answer));
+            bodies.push(answer.into_body());
+        }
+        let later = fleet.call(post("unsafe", "k1"), SECONDS).await.expect("served");
+        assert!(replayed(&later));
+        bodies.push(later.into_body());
+        assert!(bodies.iter().all(|body| *body == bodies[0] && !body.is_empty()), "{bodies:?}");
+        assert_eq!(marked, 4, "all but the first's");
+        let other = post("unsafe", "k1").map(|_| Bytes::from_static(b"pays more"));
+        let error = fleet.call(other, SECONDS).await.expect_err("another request");
+        assert_eq!(error, Error::Unusable(StatusCode::UNPROCESSABLE_ENTITY));
+        // The same key of another class is another key.
+        assert!(!replayed(&fleet.call(post("keyed", "k1"), SECONDS).await.expect("served")));
+        let state = fleet.watch().borrow().clone();
+        assert!(state.ids <= 1, "{}", state.ids);
+        fleet.shutdown(PATIENCE).await.expect("nothing is open");
+    });
+    assert_eq!(site.ledger.len(), 2);
+}
+
+/// After an end of which nobody knows, a repeat gets the failure and there is no new attempt; those who waited too.
+#[test]
+fn after_an_unsure_end_nothing_goes_again() {
+    for faulty in [Fault::ResetAfter, Fault::Garble, Fault::Cut, Fault::Error] {
+        let site = Site::start(vec![fault(faulty), fault(faulty)]);
+        run(async {
+            let fleet = fleet(&site, KEYS).await;
+            let mut calls = JoinSet::new();
+            for _ in 0..4 {
+                calls.spawn(fleet.call(post("unsafe", "k"), SECONDS));
+            }
+            while let Some(answer) = calls.join_next().await {
+                assert_eq!(answer.expect("no panic").expect_err("it failed"), Error::Failed, "{faulty:?}");
+            }
+            let later = fleet.call(post("unsafe", "k"), SECONDS).await.expect_err("it failed");
+            assert_eq!(later, Error::Failed, "{faulty:?}");
+        });
+        assert_eq!(site.ledger.len(), 1, "{faulty:?}");
+    }
+}
+
+/// After an end that surely never ran, one that waits becomes the first, and each is told that it never ran.
+#[test]
+fn after_one_that_never_ran_a_repeat_is_the_first() {
+    let site = Site::start(vec![fault(Fault::TurnAway)]);
+    run(async {
+        let fleet = fleet(&site, KEYS).await;
+        for _ in 0..2 {
+            let mut calls = JoinSet::new();
+            for _ in 0..3 {
+                calls.spawn(fleet.call(post("unsafe", "k"), SECONDS));
+            }
+            while let Some(answer) = calls.join_next().await {
+                let error = answer.expect("no panic").expect_err("turned away");
+                assert!(!error.may_have_run() && error.retry_after().is_some(), "{error:?}");
+            }
+        }
+        site.with(|inside| *inside.hosts[0].plan.borrow_mut() = Some(echoing(Duration::ZERO)));
+        // The host is set aside for a while.
+        loop {
+            match fleet.call(post("unsafe", "k"), SECONDS).await {
+                Ok(answer) => break assert!(!replayed(&answer)),
+                Err(error) => tokio::time::sleep(error.retry_after().expect("it never ran")).await,
+            }
+        }
+        assert!(replayed(&fleet.call(post("unsafe", "k"), SECONDS).await.expect("served")));
+    });
+    assert_eq!(site.ledger.len(), 1);
+}
+
+/// The first's client goes, and the repeat that waits gets the answer; both go, and the attempt is called off.
+#[test]
+fn a_call_goes_on_until_the_last_who_waits_has_gone() {
+    let site = Site::start(vec![fault(Fault::Stall)]);
+    run(async {
+        let fleet = fleet_with(&site, KEYS, |config| {
+            for time in ["objective_us", "deadline_us"] {
+                config["settings"]["classes"][2][time] = 600_000_000.into();
+            }
+        })
+        .await;
+        let long = Duration::from_secs(600);
+        let first = tokio::spawn(fleet.call(post("unsafe", "k1"), long));
+        shown(&fleet, "it is sent", |state| state.attempts == 1).await;
+        let repeat = tokio::spawn(fleet.call(post("unsafe", "k1"), long));
+        joined(&fleet, 1).await;
+        first.abort();
+        assert!(first.await.is_err());
+        site.with(|inside| inside.hosts[0].release.notify_one());
+        let answer = repeat.await.expect("no panic").expect("served");
+        assert_eq!(&answer.body()[..], b"released");
+        let both = [0, 1].map(|_| tokio::spawn(fleet.call(post("unsafe", "k2"), long)));
+        joined(&fleet, 2).await;
+        shown(&fleet, "it is sent", |state| state.attempts == 2).await;
+        both.iter().for_each(|call| call.abort());
+        shown(&fleet, "nothing is left", |state| (state.calls, state.ids) == (0, 0)).await;
+        let again = fleet.call(post("unsafe", "k2"), long).await;
+        assert_eq!(again.expect_err("nobody knows"), Error::Failed);
+    });
+    assert_eq!(site.counts(), [2]);
+}
+
+/// The first's time runs out while a repeat waits longer: the first gets its failure in its time, the call goes on,
+/// and the repeat gets the answer. A repeat with less time gets its failure first.
+#[test]
+fn each_who_waits_has_its_own_deadline() {
+    let site = Site::start(vec![fault(Fault::Stall)]);
+    run(async {
+        let fleet = fleet(&site, KEYS).await;
+        let first = tokio::spawn(fleet.call(post("unsafe", "k"), Duration::from_millis(1_500)));
+        shown(&fleet, "it is sent", |state| state.attempts == 1).await;
+        let long = tokio::spawn(fleet.call(post("unsafe", "k"), SECONDS));
+        let short = tokio::spawn(fleet.call(post("unsafe", "k"), Duration::from_millis(50)));
+        assert_eq!(short.await.expect("no panic").expect_err("its time is up"), Error::Failed);
+        assert!(!first.is_finished(), "the others wait on");
+        assert_eq!(first.await.expect("no panic").expect_err("its time is up"), Error::Failed);
+        assert!(!long.is_finished(), "it waits on");
+        site.with(|inside| inside.hosts[0].release.notify_one());
+        assert_eq!(&long.await.expect("no panic").expect("served").body()[..], b"released");
+    });
+    assert_eq!(site.counts(), [1], "one attempt for all");
+}
+
+/// A store without room refuses an unsafe request, which never ran, and passes a keyed one; another tenant keeps its.
+#[test]
+fn without_room_an_unsafe_request_is_refused() {
+    let site = Site::start(vec![fault(Fault::Stall)]);
+    run(async {
+        let keys = r#"{"entries": 3, "entries_a_tenant": 2}"#;
+        let tenants = |config: &mut serde_json::Value| {
+            config["settings"]["tenants"] = serde_json::json!([{"name": "a"}, {"name": "b"}]);
+        };
+        let fleet = fleet_with(&site, keys, tenants).await;
+        let of = |tenant: &str, key: &str| {
+            let mut request = post("unsafe", key);
+            request.headers_mut().insert("x-caller", tenant.parse().expect("a value"));
+            request
+        };
+        let running: Vec<_> = ["1", "2"].map(|key| tokio::spawn(fleet.call(of("a", key), SECONDS))).into();
+        shown(&fleet, "both are held", |state| state.keys.is_some_and(|(_, held, _)| held == 2)).await;
+        let refused = fleet.call(of("a", "3"), SECONDS).await.expect_err("its tenant has too many");
+        assert!(refused.retry_after().is_some(), "{refused:?}");
+        let other = tokio::spawn(fleet.call(of("b", "1"), SECONDS));
+        shown(&fleet, "another's is held", |state| state.keys.is_some_and(|(_, held, _)| held == 3)).await;
+        assert!(fleet.call(of("b", "2"), SECONDS).await.expect_err("no room").retry_after().is_some());
+        let passed = tokio::spawn(fleet.call(post("keyed", "k"), SECONDS));
+        let state =
+            shown(&fleet, "it passes", |state| state.keys.is_some_and(|(c, ..)| c.passed[0] == 1)).await;
+        assert_eq!(state.keys.map(|(counts, ..)| counts.refused), Some([1, 1, 0]));
+        running.iter().chain([&other, &passed]).for_each(|call| call.abort());
+    });
+}
+
+/// What cannot be a key is turned away by the front as by the library, and a reload keeps what is held.
+#[test]
+fn the_front_holds_keys_too() {
+    let site = Site::start(vec![echoing(Duration::ZERO)]);
+    run(async {
+        let fleet = fleet(&site, KEYS).await;
+        let listener = listen("127.0.0.1:0".parse().expect("an address")).expect("it listens");
+        let address = listener.local_addr().expect("an address");
+        let _serving = fleet.serve(listener).expect("it serves");
+        let mut client: Client = Reader::new(TcpStream::connect(address).await.expect("it accepts"));
+        let first = client.ask(&request("unsafe", "Idempotency-Key: k\r\n", "body")).await;
+        let again = client.ask(&request("unsafe", "Idempotency-Key: k\r\n", "body")).await;
+        assert_eq!((first.status(), &first.body), (200, &again.body));
+        assert_eq!(
+            (first.header("idempotency-replayed"), again.header("idempotency-replayed")),
+            (None, Some("true"))
+        );
+        assert_eq!(client.ask(&request("unsafe", "Idempotency-Key: k\r\n", "other")).await.status(), 422);
+        let huge = format!("Idempotency-Key: {}\r\n", "k".repeat(256));
+        assert_eq!(client.ask(&request("unsafe", &huge, "body")).await.status(), 400);
+        for bad in [
+            "Idempotency-Key: \r\n",
+            "Idempotency-Key: a\r\nIdempotency-Key: a\r\n",
+            "Idempotency-Key: é\r\n",
+        ] {
+            let mut client: Client = Reader::new(TcpStream::connect(address).await.expect("it accepts"));
+            assert_eq!(client.ask(&request("unsafe", bad, "body")).await.status(), 400, "{bad}");
+        }
+        let keys = r#"{"waiters": 1, "classes": {"unsafe": {"answered_ms": 5}}}"#;
+        fleet.reload_with_keys(&site.configuration(|_| ()), keys).expect("a good one");
+        assert!(replayed(&fleet.call(post_as("unsafe", "k", "body"), SECONDS).await.expect("served")));
+        assert!(fleet.reload_with_keys(&site.configuration(|_| ()), r#"{"waiter": 1}"#).is_err());
+    });
+    assert_eq!(site.ledger.len(), 1);
+}
+
+fn post_as(class: &str, key: &str, body: &'static str) -> Request<Bytes> {
+    post(class, key).map(|_| Bytes::from_static(body.as_bytes()))
+}
+
+/// A key that hosts are not to know stays at the edge.
+#[test]
+fn an_unsafe_key_is_not_sent_unless_configured() {
+    let site = Site::start(vec![Plan::default()]);
+    run(async {
+        let fleet = fleet(&site, "{}").await;
+        assert!(fleet.call(post("unsafe", "k"), SECONDS).await.is_ok());
+        assert!(fleet.call(post("unsafe", "k"), SECONDS).await.is_ok());
+        assert!(fleet.call(post("keyed", "k"), SECONDS).await.is_ok());
+    });
+    let keys: Vec<_> = site.ledger.effects().into_iter().map(|effect| effect.key).collect();
+    assert_eq!(keys, [None, Some("k".to_owned())]);
+}
+
+/// A configuration of keys that cannot be used is an error that names its place.
+#[test]
+fn a_broken_configuration_of_keys_names_its_place() {
+    let site = Site::start(vec![]);
+    for (keys, reason) in [
+        ("{", "EOF"),
+        (r#"{"entrys": 3}"#, "entrys"),
+        (r#"{"entries": 0}"#, "entries"),
+        (r#"{"classes": {"other": {}}}"#, "classes.other"),
+        (r#"{"classes": {"unsafe": {"unsure_ms": -1}}}"#, "classes.unsafe.unsure_ms"),
+        ("{} {}", "trailing"),
+    ] {
+        let error =
+            Fleet::builder().text(&site.configuration(|_| ())).keys(keys).start().expect_err("broken");
+        assert!(error.to_string().contains(reason), "{keys}: {error}");
+    }
+}
+
+/// Charges and entries, each repeated up to 4 times at drawn moments, with stalls, resets, garbled answers and a host
+/// that is killed: no charge runs twice and no entry outside its pod, every answer to a key is one answer, and every
+/// request has one end. Without the store the same load runs keys again.
+#[test]
+fn no_charge_runs_twice_however_often_it_comes() {
+    const KEYS_EACH: usize = 250;
+    let ends = |keys: Option<&str>| {
+        let plan = Plan {
+            service: Duration::from_millis(2),
+            faults: vec![
+                (Fault::Stall, 0.004),
+                (Fault::ResetAfter, 0.02),
+                (Fault::ResetBefore, 0.02),
+                (Fault::TurnAway, 0.02),
+                (Fault::Garble, 0.005),
+                (Fault::Cut, 0.005),
+                (Fault::Error, 0.005),
+            ],
+            echo: true,
+            ..Plan::default()
+        };
+        let site = Site::with_pods(vec![(1, plan.clone()), (1, plan.clone()), (2, plan.clone()), (2, plan)]);
+        let (mut asked, mut ended) = (0, 0);
+        let mut bodies: BTreeMap<String, Vec<Bytes>> = BTreeMap::new();
+        application().block_on(async {
+            let text = site.configuration(|_| ());
+            let builder = Fleet::builder().text(&text);
+            let builder = if let Some(keys) = keys { builder.keys(keys) } else { builder };
+            let fleet = builder.start().expect("it starts");
+            fleet.ready().await.expect("it runs");
+            let mut calls = JoinSet::new();
+            for number in 0..2 * KEYS_EACH {
+                // Without the store an unsafe class carries no key: entries alone are compared.
+                let class = if keys.is_some() && number % 2 == 0 { "unsafe" } else { "keyed" };
+                let mut dice = Dice::new(23, ("key", number));
+                let key = format!("{class}-{number}");
+                for _ in 0..2 + dice.below(4) {
+                    asked += 1;
+                    let (fleet, key, wait) =
+                        (fleet.clone(), key.clone(), dice.time(Duration::from_millis(3)));
+                    calls.spawn(async move {
+                        tokio::time::sleep(wait).await;
+                        // A client comes again after a refusal, as it is told to.
+                        let mut answer = Err(Error::Closed);
+                        for _ in 0..10 {
+                            answer = fleet.call(post(class, &key), Duration::from_millis(400)).await;
+                            let Err(Error::Refused { retry_after }) = answer else { break };
+                            tokio::time::sleep(retry_after).await;
+                        }
+                        (key, answer)
+                    });
+                }
+                if number == KEYS_EACH {
+                    site.with(|inside| inside.hosts[1].kill());
+                }
+                while calls.len() > 96 {
+                    let (key, answer) = calls.join_next().await.expect("one").expect("no panic");
+                    ended += 1;
+                    bodies.entry(key).or_default().extend(answer.ok().map(Response::into_body));
+                }
+            }
+            while let Some(call) = calls.join_next().await {
+                let (key, answer) = call.expect("no panic");
+                ended += 1;
+                bodies.entry(key).or_default().extend(answer.ok().map(Response::into_body));
+            }
+            fleet.shutdown(PATIENCE).await.expect("nothing is open");
+        });
+        assert_eq!(asked, ended, "one end each");
+        let runs = site.ledger.runs();
+        let charges_twice = runs.iter().filter(|(key, runs)| key.starts_with("unsafe") && **runs > 1).count();
+        let two_answers =
+            bodies.values().filter(|bodies| bodies.iter().any(|body| *body != bodies[0])).count();
+        let answered = bodies.values().filter(|bodies| !bodies.is_empty()).count();
+        let entries_twice = site.ledger.twice(Duration::from_secs(9)).len();
+        (charges_twice, entries_twice, two_answers, answered)
+    };
+    let (charges_twice, entries_twice, two_answers, answered) = ends(Some(KEYS));
+    assert_eq!((charges_twice, entries_twice, two_answers), (0, 0, 0));
+    assert!(answered > 2 * KEYS_EACH * 3 / 4, "{answered}");
+    let (_, entries_twice, two_answers, _) = ends(None);
+    assert!(
+        entries_twice > 10 && two_answers > 10,
+        "the store is what does it: {entries_twice}, {two_answers}"
+    );
+}
+
+/// The host that a first went to is drained, and one is killed, before its repeat comes: it makes no difference.
+#[test]
+fn a_drain_between_first_and_repeat_changes_nothing() {
+    let site = Site::start(vec![echoing(Duration::ZERO), echoing(Duration::ZERO)]);
+    run(async {
+        let fleet = fleet(&site, KEYS).await;
+        let first = fleet.call(post("unsafe", "k"), SECONDS).await.expect("served");
+        let ran = site.ledger.effects()[0].host.clone();
+        site.with(move |inside| {
+            let at = inside.hosts.iter().position(|host: &Host| host.name == ran).expect("it ran");
+            inside.list(at, "Terminating");
+            inside.hosts[at].kill();
+        });
+        shown(&fleet, "it is told", |state| {
+            state.hosts.iter().any(|host| host.health != nettleworks_client::Health::Ready)
+        })
+        .await;
+        let again = fleet.call(post("unsafe", "k"), SECONDS).await.expect("served");
+        assert_eq!(first.body(), again.body());
+    });
+    assert_eq!(site.ledger.len(), 1);
+}
--- a/policy/src/api.rs
+++ b/policy/src/api.rs
@@ -314,6 +314,13 @@
         /// The server's report.
         load: Load,
     },
+    /// Another waits for this call as well, and for longer: a repeat that is no call of its own.
+    Extended {
+        /// Which.
+        call: CallId,
+        /// How long it is wanted now, counted as if it had just come.
+        time_left: Micros,
+    },
     /// Nobody waits for this call any more.
     Gone {
         /// Which.
--- a/policy/src/balance.rs
+++ b/policy/src/balance.rs
@@ -245,6 +245,12 @@
                 self.end(call);
                 self.cancel_others(call, Some(attempt), actions);
             }
+            Event::Extended { call, time_left } => {
+                // One that is held ends in its time and never ran: whoever waits longer may come anew.
+                if let Some(call) = self.calls.get_mut(&call).filter(|c| !c.ended && !c.held) {
+                    (call.arrived, call.deadline) = (now, call.deadline.max(now.saturating_add(time_left)));
+                }
+            }
             Event::Gone { call } => {
                 self.end(call);
                 self.cancel_others(call, None, actions);
--- a/proxy/src/requests.rs
+++ b/proxy/src/requests.rs
@@ -5,11 +5,13 @@
 use hyper::body::{Body, Buf, Bytes, Incoming};
 use hyper::header::{self, HeaderMap, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode, Uri};
-use nettleworks_engine::calls::{Ask, Reply};
+use nettleworks_engine::calls::{Ask, AskKey, Reply};
 use nettleworks_engine::config::Config;
 use nettleworks_engine::driver::Handle;
 use nettleworks_engine::http1::{BoxError, Forward, Http1, BODY_MOST};
+use nettleworks_engine::keyed::Keys;
 use nettleworks_engine::socket::Socket;
+use nettleworks_engine::Kind;
 use nettleworks_policy::{ClassId, Repeat, TenantId};
 use std::pin::pin;
 use std::time::Duration;
@@ -98,7 +100,7 @@
     let status = match timeout_at(whole_by, Limited::new(body, BODY_MOST).collect()).await {
         Ok(Ok(body)) => {
             ask.deadline = read_at() + budget.saturating_sub(WAY_BACK);
-            return Ok((ask, forward(head, body.to_bytes())));
+            return Ok((ask.clone(), forward(config, &ask, head, body.to_bytes())));
         }
         Ok(Err(error)) if error.is::<LengthLimitError>() => StatusCode::PAYLOAD_TOO_LARGE,
         Ok(Err(_)) => StatusCode::BAD_REQUEST,
@@ -107,10 +109,17 @@
     Err(TurnedAway { status, rest: None })
 }
 
-/// What goes on to hosts of a request that can be used.
-pub fn forward(head: Parts, body: Bytes) -> Forward {
+/// What goes on to hosts of a request that can be used. A key that only the store of keys knows goes on where that is
+/// configured.
+pub fn forward(config: &Config, ask: &Ask<HeaderValue>, head: Parts, body: Bytes) -> Forward {
     let target = head.uri.path_and_query().cloned().map(Uri::from).unwrap_or_default();
-    Forward { method: head.method, target, headers: end_to_end(head.headers), body }
+    let mut headers = end_to_end(head.headers);
+    let goes_on = |keys: &Keys| keys.forward.get(ask.class.0).copied().unwrap_or_default();
+    let held = ask.key.as_ref().is_some_and(|key| key.kind == Kind::Unsafe);
+    if held && !config.keys.as_ref().is_some_and(goes_on) {
+        headers.remove("idempotency-key");
+    }
+    Forward { method: head.method, target, headers, body }
 }
 
 /// Reads on and throws away, within bounds: closing on a client that is sending would reset the connection, and the
@@ -164,6 +173,11 @@
             single(headers, "idempotency-key").filter(|key| !key.is_empty())?;
             method == Method::POST
         }
+        // Hosts know nothing of its key; the store of keys does, where there is one.
+        Repeat::SingleShot if keyed && config.keys.is_some() => {
+            single(headers, "idempotency-key").filter(|key| !key.is_empty())?;
+            method == Method::POST
+        }
         Repeat::SingleShot => method == Method::POST && !keyed,
     };
     let digits = |text: &&str| text.bytes().all(|byte| byte.is_ascii_digit());
@@ -172,7 +186,10 @@
     let budget = Duration::from_millis(budget.into()).min(Duration::from_micros(spec.deadline));
     let tenant = single(headers, "x-caller").and_then(|name| place(&config.tenants, name)).map(TenantId);
     let resent = single(headers, "x-again").is_some_and(|value| value == "1");
-    let ask = Ask { id, class: ClassId(class), tenant, deadline: Instant::now(), resent };
+    let kind = if spec.repeat == Repeat::SingleShot { Kind::Unsafe } else { Kind::Keyed };
+    let key = headers.get("idempotency-key").filter(|_| config.keys.is_some());
+    let key = key.map(|key| AskKey { kind, key: Bytes::copy_from_slice(key.as_bytes()) });
+    let ask = Ask { id, class: ClassId(class), tenant, deadline: Instant::now(), resent, key };
     fits.then_some((ask, budget))
 }
 
@@ -192,6 +209,8 @@
         Reply::Refused(after) => refused(after),
         Reply::Failed => plain(StatusCode::BAD_GATEWAY),
         Reply::IdOpen => unusable(StatusCode::CONFLICT),
+        Reply::KeyTaken => plain(StatusCode::UNPROCESSABLE_ENTITY),
+        Reply::BadKey => plain(StatusCode::BAD_REQUEST),
     }
 }
 
--- a/proxy/tests/process.rs
+++ b/proxy/tests/process.rs
@@ -198,3 +198,18 @@
         assert!(!good && out.is_empty() && error.lines().count() == 1, "{words:?}: {out}{error}");
     }
 }
+
+/// The store of keys has a file of its own, checked with the rest.
+#[test]
+fn the_keys_file_is_checked_too() {
+    let root = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("..");
+    let path = |name: &str| root.join(name).to_str().expect("a path").to_owned();
+    let (good, out, error) =
+        said(&["check", &path("deploy/example.json"), "--keys", &path("deploy/keys.json")]);
+    assert!(good && out.contains("good"), "{out}{error}");
+    let broken = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join("keys.json");
+    std::fs::write(&broken, r#"{"classes": {"no-such": {}}}"#).expect("written");
+    let broken = broken.to_str().expect("a path");
+    let (good, _, error) = said(&["check", "--keys", broken, &path("deploy/example.json")]);
+    assert!(!good && error.lines().count() == 1 && error.contains("classes.no-such"), "{error}");
+}
--- a/standins/src/demo.rs
+++ b/standins/src/demo.rs
@@ -44,6 +44,7 @@
         cold: Duration::from_secs(3),
         cold_times: 3.0,
         answer: 64,
+        echo: false,
     };
     let mut hosts = Vec::new();
     for number in 0..5 {
--- a/standins/src/ledger.rs
+++ b/standins/src/ledger.rs
@@ -59,6 +59,15 @@
         self.lock().clone()
     }
 
+    /// How often each key ran, wherever.
+    pub fn runs(&self) -> BTreeMap<String, usize> {
+        let mut runs = BTreeMap::new();
+        for key in self.lock().iter().filter_map(|effect| effect.key.clone()) {
+            *runs.entry(key).or_default() += 1;
+        }
+        runs
+    }
+
     /// How many effects there are so far.
     pub fn len(&self) -> usize {
         self.lock().len()
--- a/standins/src/plan.rs
+++ b/standins/src/plan.rs
@@ -42,13 +42,15 @@
     pub cold_times: f64,
     /// Size of an answer's body in bytes.
     pub answer: usize,
+    /// An answer's body is the request's id instead: whose answer it is can be told.
+    pub echo: bool,
 }
 
 impl Default for Plan {
     /// Answers of 16 bytes after 2 ms in the mean, and no fault.
     fn default() -> Self {
         let (seed, service, faults) = (1, Duration::from_millis(2), Vec::new());
-        Plan { seed, service, faults, cold: Duration::ZERO, cold_times: 1.0, answer: 16 }
+        Plan { seed, service, faults, cold: Duration::ZERO, cold_times: 1.0, answer: 16, echo: false }
     }
 }
 
@@ -60,20 +62,24 @@
         let mut draw = dice.share();
         for &(fault, share) in &self.faults {
             if draw < share {
-                return self.fault(fault, &mut dice);
+                return self.fault(fault, id, &mut dice);
             }
             draw -= share;
         }
         let left = 1.0 - up.div_duration_f64(self.cold.max(Duration::from_nanos(1))).min(1.0);
         let service = dice.time(self.service).mul_f64(1.0 + (self.cold_times - 1.0) * left);
-        Act::Late(service, Box::new(self.ok()))
+        Act::Late(service, Box::new(self.ok(id)))
     }
 
-    fn ok(&self) -> Act {
-        ok(&"x".repeat(self.answer))
+    fn ok(&self, id: &str) -> Act {
+        if self.echo {
+            ok(id)
+        } else {
+            ok(&"x".repeat(self.answer))
+        }
     }
 
-    fn fault(&self, fault: Fault, dice: &mut Dice) -> Act {
+    fn fault(&self, fault: Fault, id: &str, dice: &mut Dice) -> Act {
         let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", self.answer.max(2));
         match fault {
             Fault::Stall => Act::Stall,
@@ -81,7 +87,7 @@
             Fault::ResetAfter => Act::Reset,
             Fault::TurnAway => turn_away(),
             Fault::Twice => {
-                let Act::Say(text) = self.ok() else { unreachable!("an answer is said") };
+                let Act::Say(text) = self.ok(id) else { unreachable!("an answer is said") };
                 Act::Say(text.repeat(2))
             }
             Fault::Garble => Act::SayBytes([&dice.bytes(48)[..], b"\r\n\r\n"].concat()),
--- a/standins/src/site.rs
+++ b/standins/src/site.rs
@@ -46,6 +46,11 @@
 impl Site {
     /// A host for each plan, all of one pod and listed as ready.
     pub fn start(plans: Vec<Plan>) -> Site {
+        Site::with_pods(plans.into_iter().map(|plan| (3, plan)).collect())
+    }
+
+    /// A host for each plan, in its pod, listed as ready.
+    pub fn with_pods(plans: Vec<(u32, Plan)>) -> Site {
         let ledger = Ledger::default();
         let (jobs, mut queue) = mpsc::unbounded_channel::<Job>();
         let (up, is_up) = sync::channel();
@@ -56,8 +61,8 @@
             LocalSet::new().block_on(&runtime, async {
                 let registry = Registry::start().await;
                 let mut hosts = Vec::new();
-                for (number, plan) in plans.into_iter().enumerate() {
-                    hosts.push(Host::planned(&format!("node-{number}"), 3, plan, &noted).await);
+                for (number, (pod, plan)) in plans.into_iter().enumerate() {
+                    hosts.push(Host::planned(&format!("node-{number}"), pod, plan, &noted).await);
                 }
                 let inside = Inside { hosts, registry };
                 (0..inside.hosts.len()).for_each(|host| inside.list(host, "Ready"));
