--- a/engine/src/driver.rs
+++ b/engine/src/driver.rs
@@ -98,6 +98,8 @@
     pub(crate) open: HashSet<P::Id>,
     /// Where it is on.
     pub(crate) keyed: Option<Keyed<P>>,
+    /// When the timer looks for those who have waited long enough; `None`: not at all.
+    pub(crate) armed: Option<Instant>,
     counts: Counts,
     /// Who watches the state.
     shown: watch::Sender<State>,
@@ -156,6 +158,7 @@
             woken: Rc::default(),
             open: HashSet::new(),
             keyed: Keyed::new(&config),
+            armed: None,
             counts: Counts::default(),
             shown: watch::Sender::default(),
             config: config.clone(),
@@ -385,7 +388,11 @@
         let woken = self.0.borrow().woken.clone();
         loop {
             let wake = self.0.borrow().wake;
-            let overdue = self.0.borrow().next_overdue();
+            let overdue = {
+                let mut driver = self.0.borrow_mut();
+                driver.armed = driver.next_overdue();
+                driver.armed
+            };
             let due = |at: Option<Instant>| async move {
                 match at {
                     Some(at) => sleep_until(at).await,
--- a/engine/src/keyed.rs
+++ b/engine/src/keyed.rs
@@ -147,7 +147,7 @@
             Arrival::First(slot) => {
                 keyed.calls.insert(slot, number);
                 keyed.wait(number, ask, slot, caller, true, &request);
-                self.woken.notify_one();
+                self.arm(ask.deadline + GRACE);
                 return Some((Owner::Key(slot), request));
             }
             Arrival::Joined { slot, longest } => {
@@ -164,7 +164,7 @@
                     self.events
                         .push_back(Event::Extended { call: id, time_left: left.as_micros() as Micros });
                 }
-                self.woken.notify_one();
+                self.arm(ask.deadline + GRACE);
                 return None;
             }
             Arrival::Pass(_) => return Some((Owner::One(caller), request)),
@@ -265,6 +265,14 @@
         self.tidy(call);
     }
 
+    /// Sees that the timer looks at this moment, or before.
+    fn arm(&mut self, at: Instant) {
+        if self.armed.is_none_or(|armed| at < armed) {
+            self.armed = Some(at);
+            self.woken.notify_one();
+        }
+    }
+
     /// When the next who waits is told that its time is up.
     pub(crate) fn next_overdue(&self) -> Option<Instant> {
         let deadline = self.keyed.as_ref()?.store.next_deadline()?;
--- a/library/tests/keys.rs
+++ b/library/tests/keys.rs
@@ -413,3 +413,85 @@
     });
     assert_eq!(site.ledger.len(), 1);
 }
+
+/// An answer of 64 KiB for many who wait: each gets all of it, and one copy is held. Where it is more than may be
+/// held, a marker stays: a later repeat gets the failure, and no new attempt.
+#[test]
+fn a_large_answer_for_many_is_held_once_or_not_at_all() {
+    const WAITERS: usize = 40;
+    for (most, held) in [(100_000, true), (60_000, false)] {
+        let slow = Plan { service: Duration::from_millis(300), answer: 64 << 10, ..Plan::default() };
+        let site = Site::start(vec![slow]);
+        run(async {
+            let fleet = fleet(&site, &format!(r#"{{"answer_bytes": {most}}}"#)).await;
+            let mut calls = JoinSet::new();
+            for _ in 0..WAITERS {
+                calls.spawn(fleet.call(post("unsafe", "k"), SECONDS));
+            }
+            while let Some(answer) = calls.join_next().await {
+                assert_eq!(answer.expect("no panic").expect("served").body().len(), 64 << 10);
+            }
+            let state = shown(&fleet, "it has ended", |state| {
+                state.calls == 0 && state.keys.is_some_and(|(counts, ..)| counts.joined == WAITERS as u64 - 1)
+            })
+            .await;
+            let (_, _, bytes) = state.keys.expect("a store");
+            assert_eq!(bytes >= 64 << 10, held, "{bytes}");
+            assert!(bytes <= most, "{bytes}");
+            let later = fleet.call(post("unsafe", "k"), SECONDS).await;
+            assert_eq!(later.err(), (!held).then_some(Error::Failed));
+        });
+        assert_eq!(site.ledger.len(), 1);
+    }
+}
+
+/// A client that does not read its answer keeps no repeat waiting.
+#[test]
+fn a_repeat_does_not_wait_for_the_firsts_client_to_read() {
+    let site = Site::start(vec![Plan { answer: 64 << 10, ..Plan::default() }]);
+    run(async {
+        let fleet = fleet(&site, KEYS).await;
+        let listener = listen("127.0.0.1:0".parse().expect("an address")).expect("it listens");
+        let address = listener.local_addr().expect("an address");
+        let _serving = fleet.serve(listener).expect("it serves");
+        let client =
+            async || -> Client { Reader::new(TcpStream::connect(address).await.expect("it accepts")) };
+        let mut unread = client().await;
+        unread.send(&request("unsafe", "Idempotency-Key: k\r\n", "body")).await;
+        unread.stream.readable().await.expect("its answer begins");
+        let repeat = client().await.ask(&request("unsafe", "Idempotency-Key: k\r\n", "body")).await;
+        assert_eq!((repeat.status(), repeat.header("idempotency-replayed")), (200, Some("true")));
+        assert_eq!(unread.message().await.expect("an answer").body, repeat.body);
+    });
+    assert_eq!(site.ledger.len(), 1);
+}
+
+/// A stop answers the first and all who wait with it.
+#[test]
+fn a_stop_answers_all_who_wait() {
+    let site = Site::start(vec![echoing(Duration::from_millis(700))]);
+    run(async {
+        let fleet = fleet(&site, KEYS).await;
+        let listener = listen("127.0.0.1:0".parse().expect("an address")).expect("it listens");
+        let address = listener.local_addr().expect("an address");
+        let mut serving = fleet.serve(listener).expect("it serves");
+        let mut clients: Vec<Client> = Vec::new();
+        for _ in 0..4 {
+            let mut client: Client = Reader::new(TcpStream::connect(address).await.expect("it accepts"));
+            client.send(&request("unsafe", "Idempotency-Key: k\r\n", "body")).await;
+            clients.push(client);
+        }
+        joined(&fleet, 3).await;
+        serving.stop();
+        let mut bodies = Vec::new();
+        for client in &mut clients {
+            let answer = client.message().await.expect("an answer");
+            assert_eq!(answer.status(), 200);
+            bodies.push(answer.body);
+        }
+        assert!(bodies.iter().all(|body| *body == bodies[0]));
+        serving.await.expect("it served");
+        fleet.shutdown(PATIENCE).await.expect("nothing is open");
+    });
+    assert_eq!(site.ledger.len(), 1);
+}
--- a/measure/src/library.rs
+++ b/measure/src/library.rs
@@ -124,6 +124,12 @@
     (forms, ratios)
 }
 
+/// CPU time of one role for each request of one turn, in microseconds.
+pub fn cpu_a_request(role: &Role, clients: usize, seed: u64, turn: Duration) -> f64 {
+    let (tally, cpu) = ask(role.address, clients, seed, turn, || role.cpu());
+    cpu.as_secs_f64() * 1e6 / tally.all().max(1) as f64
+}
+
 /// One turn: what came of it, and the CPU time that it cost.
 fn ask(
     address: SocketAddr,
@@ -144,7 +150,8 @@
     })
 }
 
-fn until_ready(daemon: SocketAddr) {
+/// Waits until a daemon has a list of hosts.
+pub fn until_ready(daemon: SocketAddr) {
     run(async {
         loop {
             let stream = tokio::net::TcpStream::connect(daemon).await.expect("it accepts");
--- a/measure/src/main.rs
+++ b/measure/src/main.rs
@@ -2,6 +2,7 @@
 //! line of standard output is one JSON object with targets, and the exit status is 1 if one is missed.
 #![forbid(unsafe_code)]
 
+mod keys;
 mod library;
 mod process;
 mod report;
@@ -11,6 +12,7 @@
 
 const USAGE: &str = "\
 usage: measure NAME [--full]
+  keys       the store of idempotency keys: look-up time, bytes a key, CPU a request with it and without
   library    the library beside the daemon and a plain client: CPU for each request, times";
 
 fn main() -> ExitCode {
@@ -19,6 +21,7 @@
     let full = words.contains(&"--full");
     let report = match words[..] {
         ["library"] | ["library", "--full"] => library::measure(full),
+        ["keys"] | ["keys", "--full"] => keys::measure(full),
         // What a measurement starts of itself, as processes of their own.
         ["role", name, argument] => return roles::run(name, argument),
         _ => {
--- a/measure/src/roles.rs
+++ b/measure/src/roles.rs
@@ -32,7 +32,8 @@
     });
     let threads = std::env::var("THREADS").ok().and_then(|threads| threads.parse().ok()).unwrap_or(1);
     match name {
-        "daemon" => daemon(argument),
+        "daemon" => daemon(argument, false),
+        "daemon-with-keys" => daemon(argument, true),
         // To hosts, or to the daemon.
         "plain" => {
             application(
@@ -132,8 +133,11 @@
     });
 }
 
-fn daemon(config: &str) {
-    let config = Config::parse(config).expect("a good configuration");
+fn daemon(config: &str, keys: bool) {
+    let mut config = Config::parse(config).expect("a good configuration");
+    if keys {
+        config = config.with_keys("{}").expect("a good configuration");
+    }
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
     LocalSet::new().block_on(&runtime, async {
         let listener = nettleworks::server::listen(config.listen).expect("it listens");
