Give a front its time to stop when the last handle of a fleet is dropped

Cause, found on reading the change again: a plain drop waited for the longest class deadline alone, so that with short deadlines a front was cut off before the half second in which clients may still come.

Change: library/src/thread.rs adds the time that a front takes to stop.

Measured: a_plain_drop_leaves_a_front_its_time_to_stop fails without it and passes with it.

--- a/library/src/thread.rs
+++ b/library/src/thread.rs
@@ -96,10 +96,10 @@
     let mut fronts = JoinSet::new();
     let mut batch = Vec::with_capacity(BATCH);
     // Without a handle left nobody can ask for more, and nobody says how long the rest may take: each call has
-    // its deadline.
+    // its deadline, and each front its time to stop.
     let most =
         driver.config().settings.classes.iter().map(|class| Duration::from_micros(class.deadline)).max();
-    let mut time = most.unwrap_or_default();
+    let mut time = most.unwrap_or_default() + FRONT_STOP;
     'commands: while queue.recv_many(&mut batch, BATCH).await > 0 {
         for command in batch.drain(..) {
             if let Command::Shutdown(most) = command {
--- a/library/tests/application.rs
+++ b/library/tests/application.rs
@@ -286,6 +286,28 @@
     });
 }
 
+/// Nor does it cut a front short whose classes have shorter deadlines than a stop takes: clients come until they know.
+#[test]
+fn a_plain_drop_leaves_a_front_its_time_to_stop() {
+    let site = Site::start(vec![Plan::default()]);
+    application(2).block_on(async {
+        let fleet = fleet_with(&site, |config| {
+            for class in 0..3 {
+                config["settings"]["classes"][class]["deadline_us"] = 1_000.into();
+            }
+        });
+        fleet.ready().await.expect("it runs");
+        let listener = listen("127.0.0.1:0".parse().expect("an address")).expect("it listens");
+        let address = listener.local_addr().expect("an address");
+        let serving = fleet.serve(listener).expect("it serves");
+        drop((fleet, serving));
+        // Long past those deadlines, and well within the half second for which new connections are taken.
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        let mut late = Reader::new(TcpStream::connect(address).await.expect("it still accepts"));
+        assert_eq!(late.ask(nettleworks_standins::HEALTH).await.status(), 200);
+    });
+}
+
 /// An answer that nobody polls for is all that is held: its call is over, its place free, its connection idle.
 #[test]
 fn a_caller_that_never_polls_holds_its_answer_alone() {
