--- a/engine/src/calls.rs
+++ b/engine/src/calls.rs
@@ -3,7 +3,7 @@
 use crate::protocol::{Meter, Protocol};
 use crate::task::Task;
 use hyper::body::Bytes;
-use nettleworks_keys::{Kind, Slot};
+use nettleworks_keys::{Kind, Known, Slot};
 use nettleworks_policy::{CallId, ClassId, Event, Load, Micros, Outcome, ServerId, TenantId};
 use std::cell::Cell;
 use std::collections::VecDeque;
@@ -48,6 +48,8 @@
     Refused(Duration),
     /// Failed; it may have run.
     Failed,
+    /// It may have run and there is no answer, and this is what is known of its key.
+    Unsure(Known),
     /// Its id is that of an open call: hosts would take the two for one. It never ran.
     IdOpen,
     /// Its key belongs to another request. It never ran.
@@ -85,12 +87,16 @@
 
 pub(crate) struct Call<P: Protocol> {
     pub id: P::Id,
+    pub class: ClassId,
     pub request: Rc<P::Request>,
     pub deadline: Instant,
     /// `None`: it is over.
     pub caller: Option<Owner<P::Answer>>,
-    /// Its end may move while it runs, for one that is owned by a key.
+    /// When its attempts end, for one that is owned by a key: it may move while they are out, and is later than the
+    /// deadline of those who wait where it may go on without them.
     pub limit: Option<Rc<Cell<Instant>>>,
+    /// Nobody waits for it, and what is out of it goes on.
+    pub lingers: bool,
     /// The key whose call it was, once nobody waits for it any more.
     pub late: Option<Slot>,
     /// An attempt has ended of which it is not sure that it never ran.
@@ -102,7 +108,7 @@
 impl<P: Protocol> Call<P> {
     /// Whether any attempt so far may have run.
     pub fn may_have_run(&self) -> bool {
-        self.may_have_run || self.attempts.iter().flatten().any(|out| out.meter.get() > 0)
+        self.may_have_run || self.attempts.iter().flatten().any(|out| out.meter.bytes() > 0)
     }
 
     /// Ends the attempts that are unwanted and of which nothing is written yet. Unlike one that is called off,
@@ -115,7 +121,7 @@
     ) {
         let closed = self.caller.is_none();
         for (attempt, out) in (0..).zip(&mut self.attempts) {
-            if let Some(out) = out.take_if(|out| out.meter.get() == 0 && unwanted(out)) {
+            if let Some(out) = out.take_if(|out| out.meter.bytes() == 0 && unwanted(out)) {
                 events.push_back(ended(id, attempt, Outcome::NotSent, out.sent.elapsed(), closed));
             }
         }
--- a/engine/src/driver.rs
+++ b/engine/src/driver.rs
@@ -11,7 +11,7 @@
 use crate::Log;
 use nettleworks_policy as policy;
 use nettleworks_policy::{
-    Action, Balancer, CallId, CellId, Entry, Event, ListKind, Micros, Outcome, ServerId,
+    Action, Balancer, CallId, CellId, ClassId, Entry, Event, ListKind, Micros, Outcome, Repeat, ServerId,
 };
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
@@ -26,6 +26,8 @@
 const SWEEP: Duration = Duration::from_secs(1);
 /// How many sweeps pass between two lines of figures in the log.
 const SWEEPS_A_LINE: u32 = 10;
+/// How often a stop looks whether calls still linger.
+const SETTLE_LOOK: Duration = Duration::from_millis(2);
 /// Where the list is pushed the module never asks for it: a watch that ended is opened again after this.
 const PUSH_RETRY: Duration = Duration::from_secs(1);
 
@@ -77,7 +79,7 @@
 pub(crate) struct Driver<P: Protocol> {
     pub(crate) clock: Clock,
     protocol: Rc<P>,
-    log: Log,
+    pub(crate) log: Log,
     pub(crate) config: Rc<Config>,
     balancer: Balancer,
     pub(crate) events: VecDeque<Event>,
@@ -106,7 +108,7 @@
 }
 
 /// The driver, shared by the tasks of one thread. No method waits, and none is called from within another.
-pub struct Handle<P: Protocol>(Rc<RefCell<Driver<P>>>);
+pub struct Handle<P: Protocol>(pub(crate) Rc<RefCell<Driver<P>>>);
 
 impl<P: Protocol> Clone for Handle<P> {
     fn clone(&self) -> Self {
@@ -197,6 +199,25 @@
         driver.calls.values().filter(plain).count() + driver.keyed.as_ref().map_or(0, Keyed::waiting)
     }
 
+    /// How many calls go on though nobody waits for them.
+    pub fn lingering(&self) -> usize {
+        self.0.borrow().keyed.as_ref().map_or(0, |keyed| keyed.lingering.len())
+    }
+
+    /// Waits until no call lingers.
+    pub async fn settled(&self) {
+        while self.lingering() > 0 {
+            tokio::time::sleep(SETTLE_LOOK).await;
+        }
+    }
+
+    /// The time of all who wait for a call is up, as the module has set it. Whether the call goes on without them.
+    fn time_is_up(&self, id: CallId) -> bool {
+        let goes_on = self.0.borrow_mut().time_is_up(id);
+        self.run([]);
+        goes_on
+    }
+
     /// The configuration.
     pub fn config(&self) -> Rc<Config> {
         self.0.borrow().config.clone()
@@ -213,7 +234,7 @@
         driver.protocol.reload(&driver.config);
         let Driver { keyed, config, .. } = &mut *driver;
         if let (Some(keyed), Some(keys)) = (keyed, &config.keys) {
-            keyed.store.rebound(keys.bounds.clone());
+            keyed.rebound(keys);
         }
         if moved {
             driver.subscribe(self);
@@ -227,7 +248,8 @@
         (driver.log)(&format!("{calls} calls, {connections:?}, {:?}", driver.counts));
         if let Some(keyed) = &driver.keyed {
             let (held, bytes) = (keyed.store.len(), keyed.store.answer_bytes());
-            (driver.log)(&format!("keys: {held} held, {bytes} bytes, {:?}", keyed.store.counts()));
+            let (lingering, counts) = (keyed.lingering.len(), keyed.store.counts());
+            (driver.log)(&format!("keys: {held} held, {bytes} bytes, {lingering} lingering, {counts:?}"));
         }
     }
 
@@ -277,7 +299,7 @@
         let taken = driver.keyed(call, &ask, request, caller);
         let Ask { id, class, tenant, deadline, resent, .. } = ask;
         let event = taken.map(|(owner, request)| {
-            driver.begin(call, id, request, deadline, owner);
+            driver.begin(call, id, class, request, deadline, owner);
             let time_left = deadline.saturating_duration_since(Instant::now()).as_micros() as Micros;
             Event::Request { call, class, tenant, time_left, resent }
         });
@@ -351,6 +373,7 @@
         let owner = end.answer.as_ref().and_then(|_| call.caller.take().or(call.late.map(Owner::Key)));
         let served = owner.zip(end.answer.take());
         call.may_have_run |= !end.outcome.never_ran();
+        let lingers = call.lingers;
         let (elapsed, closed) = (out.sent.elapsed().as_micros() as Micros, call.caller.is_none());
         let (outcome, load) = (end.outcome, end.load);
         driver.events.push_back(Event::Outcome { call: id, attempt, outcome, elapsed, closed, load });
@@ -359,6 +382,9 @@
             Some((Owner::Key(slot), answer)) => driver.settle(slot, Reply::Served(answer), true),
             None => {}
         }
+        if lingers {
+            driver.spent(id);
+        }
         driver.tidy(id);
         drop(driver);
         self.run([]);
@@ -439,21 +465,35 @@
         &mut self,
         call: CallId,
         id: P::Id,
+        class: ClassId,
         request: Rc<P::Request>,
         deadline: Instant,
         owner: Owner<P::Answer>,
     ) {
-        let limit = matches!(owner, Owner::Key(_)).then(|| Rc::new(Cell::new(deadline)));
-        let (caller, attempts, late, may_have_run) = (Some(owner), Vec::new(), None, false);
-        self.calls.insert(call, Call { id, request, deadline, caller, limit, late, may_have_run, attempts });
+        let limit = matches!(owner, Owner::Key(_)).then(|| Rc::new(Cell::new(self.limit(class, deadline))));
+        let (caller, attempts, late, may_have_run, lingers) = (Some(owner), Vec::new(), None, false, false);
+        let call_is =
+            Call { id, class, request, deadline, caller, limit, lingers, late, may_have_run, attempts };
+        self.calls.insert(call, call_is);
     }
 
     fn send(&mut self, handle: &Handle<P>, id: CallId, server: ServerId, until: Option<Micros>) {
         let now = Instant::now();
+        let Some(call) = self.calls.get(&id) else { return };
+        let may_linger = call.limit.is_some() && self.lingers(call.class);
         let Some(call) = self.calls.get_mut(&id) else { return };
         let attempt = call.attempts.len() as u32;
-        // Without an end of its own an attempt ends with its call, whose end may move.
-        let limit = call.limit.clone().filter(|_| until.is_none());
+        // Without an end of its own an attempt ends with its call, whose end may move. One that may linger, and can
+        // never go again, goes on past its own end for whoever asks later.
+        let alone = until.is_some()
+            && may_linger
+            && self
+                .config
+                .settings
+                .classes
+                .get(call.class.0)
+                .is_some_and(|class| class.repeat == Repeat::SingleShot);
+        let limit = call.limit.clone().filter(|_| until.is_none() || alone);
         let until = until.map_or(call.deadline, |at| self.clock.instant(at).min(call.deadline));
         let host = self.hosts.get(&server).filter(|host| host.health == Health::Ready);
         let Some(host) = host.filter(|_| call.caller.is_some() && now < until) else {
@@ -467,11 +507,17 @@
             let (handle, meter) = (handle.clone(), meter.clone());
             task::spawn(async move {
                 // It is over then, whatever the protocol does.
+                let mut exchange = std::pin::pin!(exchange);
                 let end = match limit {
                     None => timeout_at(until, exchange).await.ok(),
+                    Some(limit) if alone => match timeout_at(until, &mut exchange).await {
+                        Ok(end) => Some(end),
+                        Err(_) if handle.time_is_up(id) => until_moved(&limit, exchange).await,
+                        Err(_) => None,
+                    },
                     Some(limit) => until_moved(&limit, exchange).await,
                 };
-                let end = end.unwrap_or_else(|| match meter.get() {
+                let end = end.unwrap_or_else(|| match meter.bytes() {
                     0 => End::without_answer(Outcome::NoConnection),
                     _ => End::without_answer(Outcome::TimedOut),
                 });
@@ -489,7 +535,7 @@
         let Some(call) = self.calls.get_mut(&id) else { return };
         let Some(out) = call.attempts.get_mut(attempt as usize).and_then(Option::take) else { return };
         let closed = call.caller.is_none();
-        call.may_have_run |= out.meter.get() > 0;
+        call.may_have_run |= out.meter.bytes() > 0;
         self.events.push_back(ended(id, attempt, Outcome::CalledOff, out.sent.elapsed(), closed));
         self.tidy(id);
     }
@@ -601,6 +647,7 @@
             version: self.seq,
             hosts,
             calls: self.calls.len(),
+            lingering: self.keyed.as_ref().map_or(0, |keyed| keyed.lingering.len()),
             ids: self.open.len(),
             connections: self.protocol.connections(),
             requests: self.counts.requests,
--- a/engine/src/http1/exchange.rs
+++ b/engine/src/http1/exchange.rs
@@ -5,15 +5,18 @@
 use crate::task::{spawn, Task};
 use http::response::Parts;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::body::Bytes;
+use hyper::body::{Body, Bytes, Frame, SizeHint};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{self, HeaderMap, HeaderValue};
 use hyper::{Request, Response, StatusCode};
 use nettleworks_policy::{Load, Outcome};
+use std::convert::Infallible;
 use std::error::Error;
 use std::io;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::Rc;
+use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::task::yield_now;
@@ -44,10 +47,48 @@
     Ok(stream)
 }
 
+/// A request's body on its way: it notes when all of it has been taken to be written.
+#[derive(Debug)]
+pub struct Outgoing {
+    body: Full<Bytes>,
+    meter: Meter,
+}
+
+impl Outgoing {
+    /// A body of an attempt with this meter.
+    pub fn new(body: Bytes, meter: &Meter) -> Outgoing {
+        // One without a byte is not asked for any.
+        meter.made(body.is_empty());
+        Outgoing { body: Full::new(body), meter: meter.clone() }
+    }
+}
+
+impl Body for Outgoing {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        let frame = Pin::new(&mut self.body).poll_frame(context);
+        self.meter.made(self.body.is_end_stream());
+        frame
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
 /// A connection to a host. It is closed when this is dropped, also with a request out on it.
 #[derive(Debug)]
 pub struct Connection {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<Outgoing>,
     socket: Socket,
     /// How often it had been read when its last answer was whole.
     reads: u64,
@@ -82,14 +123,14 @@
 /// `None`: it was found closed before any of the request was written.
 pub async fn exchange(
     mut connection: Connection,
-    request: Request<Full<Bytes>>,
+    request: Request<Outgoing>,
     meter: &Meter,
 ) -> Option<(End<Response<Bytes>>, Option<Connection>)> {
     connection.socket.count(meter);
     let (kept, started) = (connection.reads > 0, Instant::now());
     let response = match connection.sender.send_request(request).await {
         Ok(response) => response,
-        Err(_) if meter.get() == 0 => return None,
+        Err(_) if meter.bytes() == 0 => return None,
         Err(error) => {
             // The one read since is that of its end: nothing of an answer has come.
             let unanswered = kept && connection.socket.reads() <= connection.reads + 1;
--- a/engine/src/http1/mod.rs
+++ b/engine/src/http1/mod.rs
@@ -6,8 +6,7 @@
 
 use crate::config::Config;
 use crate::protocol::{Connections, End, Meter, Protocol, Target};
-use exchange::{exchange, Connection};
-use http_body_util::Full;
+use exchange::{exchange, Connection, Outgoing};
 use hyper::body::Bytes;
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use hyper::{Method, Request, Response, Uri};
@@ -39,8 +38,8 @@
 
 impl Forward {
     /// The request for one attempt, which is given up at `until`.
-    fn request(&self, until: Instant) -> Request<Full<Bytes>> {
-        let mut request = Request::new(Full::new(self.body.clone()));
+    fn request(&self, until: Instant, meter: &Meter) -> Request<Outgoing> {
+        let mut request = Request::new(Outgoing::new(self.body.clone(), meter));
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.target.clone();
         *request.headers_mut() = self.headers.clone();
@@ -107,7 +106,7 @@
         meter: Meter,
     ) -> End<Response<Bytes>> {
         if let Some(connection) = kept {
-            let end = exchange(connection, forward.request(until), &meter).await;
+            let end = exchange(connection, forward.request(until, &meter), &meter).await;
             let broken = end.as_ref().is_none_or(|(end, _)| end.outcome == Outcome::Stale);
             self.count(|counts| counts.broken_reuse += u64::from(broken));
             if let Some((end, connection)) = end {
@@ -134,7 +133,7 @@
         let opened = Connection::open(to.address, limit, slot).await;
         self.count(|counts| *if opened.is_ok() { &mut counts.opened } else { &mut counts.open_failed } += 1);
         let end = match opened {
-            Ok(connection) => exchange(connection, forward.request(until), &meter).await,
+            Ok(connection) => exchange(connection, forward.request(until, &meter), &meter).await,
             Err(_) => None,
         };
         let Some((end, connection)) = end else { return End::without_answer(Outcome::NoConnection) };
--- a/engine/src/lib.rs
+++ b/engine/src/lib.rs
@@ -18,7 +18,8 @@
 pub mod state;
 pub mod task;
 
-pub use nettleworks_keys::{Counts as KeyCounts, Kind};
+pub use nettleworks_keys as keys;
+pub use nettleworks_keys::{Counts as KeyCounts, KeyState, Kind, Known};
 
 use std::io::{self, Write};
 use std::rc::Rc;
--- a/engine/src/protocol.rs
+++ b/engine/src/protocol.rs
@@ -10,9 +10,49 @@
 use std::rc::Rc;
 use tokio::time::Instant;
 
-/// Bytes that were written for one attempt. None means that no host can have seen it, which is what rule 2 (no
-/// effect twice) rests on: a protocol counts here *every* byte of an attempt that it gives to the system.
-pub type Meter = Rc<Cell<usize>>;
+/// What was written for one attempt. No byte means that no host can have seen it, which is what rule 2 (no effect
+/// twice) rests on: a protocol counts here *every* byte of an attempt that it gives to the system. An attempt that is
+/// whole needs nothing more to be sent for it, whoever waits for it or not, which is what rule 1 rests on when its
+/// client has gone.
+#[derive(Clone, Debug, Default)]
+pub struct Meter(Rc<Written>);
+
+#[derive(Debug, Default)]
+struct Written {
+    bytes: Cell<usize>,
+    /// All of the request has been made into bytes.
+    made: Cell<bool>,
+    whole: Cell<bool>,
+}
+
+impl Meter {
+    /// How many bytes were written.
+    pub fn bytes(&self) -> usize {
+        self.0.bytes.get()
+    }
+
+    /// So many more were written.
+    pub fn add(&self, count: usize) {
+        self.0.bytes.set(self.0.bytes.get() + count);
+    }
+
+    /// Whether all of the request has been made into bytes: what is flushed next is its end.
+    pub fn made(&self, all: bool) {
+        self.0.made.set(all);
+    }
+
+    /// All bytes that were made so far are written.
+    pub fn flushed(&self) {
+        if self.0.made.get() && self.bytes() > 0 {
+            self.0.whole.set(true);
+        }
+    }
+
+    /// Whether all of it is written.
+    pub fn is_whole(&self) -> bool {
+        self.0.whole.get()
+    }
+}
 
 /// How an attempt ended.
 #[derive(Debug)]
--- a/engine/src/socket.rs
+++ b/engine/src/socket.rs
@@ -93,15 +93,20 @@
         let Some(io) = io.as_mut() else { return Poll::Ready(Err(io::ErrorKind::NotConnected.into())) };
         let written = Pin::new(io).poll_write(context, bytes);
         if let Poll::Ready(Ok(count)) = written {
-            let meter = self.0.meter.borrow();
-            meter.set(meter.get() + count);
+            self.0.meter.borrow().add(count);
         }
         written
     }
 
     fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         let mut io = self.0.io.borrow_mut();
-        io.as_mut().map_or(Poll::Ready(Ok(())), |io| Pin::new(io).poll_flush(context))
+        let Some(io) = io.as_mut() else { return Poll::Ready(Ok(())) };
+        let flushed = Pin::new(io).poll_flush(context);
+        // hyper flushes when it has written all that it had made.
+        if matches!(flushed, Poll::Ready(Ok(()))) {
+            self.0.meter.borrow().flushed();
+        }
+        flushed
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/engine/src/state.rs
+++ b/engine/src/state.rs
@@ -31,6 +31,8 @@
     pub hosts: Vec<HostState>,
     /// Calls that are open, or over with an attempt still out.
     pub calls: usize,
+    /// Those of them that go on though nobody waits for them.
+    pub lingering: usize,
     /// Ids that no new call may have.
     pub ids: usize,
     /// Connections to hosts.
--- a/keys/src/lib.rs
+++ b/keys/src/lib.rs
@@ -25,9 +25,14 @@
 #![warn(missing_docs)]
 
 mod bounds;
+mod inspect;
+mod linger;
 mod store;
 
 pub use bounds::{Bounds, Retention};
+pub use inspect::{mask, Filter, Page, Settled, Unsettled, View};
+pub use linger::{LingerBounds, Lingering};
 pub use store::{
-    Arrival, Cause, Counts, Digest, End, Ended, Kind, Left, Micros, Request, Slot, Store, WaiterId,
+    Arrival, BadSlot, Cause, Counts, Digest, End, Ended, KeyState, Kind, Known, Left, Micros, Request, Slot,
+    Store, Verdict, WaiterId,
 };
--- a/keys/src/store.rs
+++ b/keys/src/store.rs
@@ -4,7 +4,9 @@
 use siphasher::sip::SipHasher13;
 use siphasher::sip128::{Hasher128, SipHasher24};
 use std::collections::{BTreeSet, HashMap};
+use std::fmt;
 use std::hash::{BuildHasher, Hasher};
+use std::str::FromStr;
 
 /// A moment, in microseconds.
 pub type Micros = u64;
@@ -40,11 +42,113 @@
     pub digest: Digest,
 }
 
-/// A running call. It names this one run for good: a key that runs again has another.
+/// A running call. It names this one run for good: a key that runs again has another. As text it is `PLACE-SERIAL`.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Slot {
-    place: usize,
-    serial: u64,
+    pub(crate) place: usize,
+    pub(crate) serial: u64,
+}
+
+impl Slot {
+    #[cfg(test)]
+    pub(crate) fn of(place: usize, serial: u64) -> Slot {
+        Slot { place, serial }
+    }
+}
+
+impl fmt::Display for Slot {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(out, "{}-{}", self.place, self.serial)
+    }
+}
+
+impl FromStr for Slot {
+    type Err = BadSlot;
+
+    fn from_str(text: &str) -> Result<Slot, BadSlot> {
+        let (place, serial) = text.split_once('-').ok_or(BadSlot)?;
+        let place = place.parse().map_err(|_| BadSlot)?;
+        Ok(Slot { place, serial: serial.parse().map_err(|_| BadSlot)? })
+    }
+}
+
+/// A text that names no run of a key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BadSlot;
+
+impl fmt::Display for BadSlot {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        out.write_str("not an id of a key, which is two whole numbers with a dash between them")
+    }
+}
+
+impl std::error::Error for BadSlot {}
+
+/// What a key is at.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum KeyState {
+    /// Its call is out; it may run, and its answer may still come.
+    Running,
+    /// It ran, and its answer is kept.
+    Answered,
+    /// It ran and was answered, and its answer is no longer kept.
+    Forgotten,
+    /// It may have run; nobody knows.
+    Unsure,
+    /// It ran, as somebody has said by hand; its answer was never seen.
+    Ran,
+    /// It never ran, as somebody has said by hand: the next request with it is a first.
+    NeverRan,
+}
+
+impl KeyState {
+    /// All of them, with their names in answers and at the command line; the names do not change.
+    pub const ALL: [(KeyState, &'static str); 6] = [
+        (KeyState::Running, "running"),
+        (KeyState::Answered, "answered"),
+        (KeyState::Forgotten, "forgotten"),
+        (KeyState::Unsure, "unsure"),
+        (KeyState::Ran, "ran"),
+        (KeyState::NeverRan, "never-ran"),
+    ];
+
+    /// Its name.
+    pub fn name(self) -> &'static str {
+        KeyState::ALL.iter().find(|(state, _)| *state == self).map_or("", |(_, name)| name)
+    }
+
+    /// The state of this name.
+    pub fn named(name: &str) -> Option<KeyState> {
+        KeyState::ALL.iter().find(|(_, known)| *known == name).map(|(state, _)| *state)
+    }
+}
+
+/// What is known of a key that has no answer to give.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Known {
+    /// What it is at.
+    pub state: KeyState,
+    /// How long ago its first request came, in microseconds.
+    pub age: Micros,
+}
+
+/// What somebody says by hand of a key of which nobody knew.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// It ran: no request with it goes to a host, and each is told so.
+    Ran,
+    /// It never ran: the next request with it is a first.
+    NeverRan,
+}
+
+impl Verdict {
+    /// What a key is at after it.
+    pub fn state(self) -> KeyState {
+        match self {
+            Verdict::Ran => KeyState::Ran,
+            Verdict::NeverRan => KeyState::NeverRan,
+        }
+    }
 }
 
 /// Why a request is not held, or an answer no longer.
@@ -72,10 +176,8 @@
     },
     /// The first's answer.
     Replay(A),
-    /// The first ran and was answered, and its answer is no longer kept: no new attempt.
-    Forgotten,
-    /// The first may have run, and nobody knows: the failure again, no new attempt.
-    Unsure,
+    /// The first ran or may have, and there is no answer to give: no new attempt.
+    Known(Known),
     /// Another request had this key: an error, 422.
     Mismatch,
     /// The key is empty or too long: an error, 400.
@@ -109,6 +211,8 @@
     pub waiters: Vec<WaiterId>,
     /// The one that is sent now, under the same slot: it becomes the first.
     pub next: Option<WaiterId>,
+    /// An answer came for a key that had been given up, which was at this: the answer holds.
+    pub late: Option<KeyState>,
 }
 
 /// What is left of a call when one who waited has gone.
@@ -116,7 +220,8 @@
 pub enum Left {
     /// Others wait.
     Others,
-    /// Nobody does: it is to be called off, and its end told.
+    /// Nobody does. It is to be called off and its end told; or it goes on for a while (see [`crate::Lingering`]), in
+    /// which case a repeat joins it as any.
     Nobody,
     /// It had ended, or did not wait.
     Nothing,
@@ -135,6 +240,22 @@
     pub unsure: u64,
     /// Repeats whose answer was no longer kept.
     pub forgotten: u64,
+    /// Repeats of a key that ran, as somebody has said by hand.
+    pub told_by_hand: u64,
+    /// Calls that went on when nobody waited any more.
+    pub lingered: u64,
+    /// Those of them that a repeat has joined.
+    pub rejoined: u64,
+    /// Those of them that were answered.
+    pub answered_alone: u64,
+    /// Those of them that made room for others.
+    pub called_off: u64,
+    /// Keys that ended unsure.
+    pub ended_unsure: u64,
+    /// Answers that came for a key that had been given up.
+    pub late: u64,
+    /// Keys that were settled by hand.
+    pub settled: u64,
     /// Other requests under a key that was taken.
     pub mismatched: u64,
     /// Requests with a key that cannot be one.
@@ -152,14 +273,14 @@
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
-struct Key {
-    tenant: Option<u32>,
-    class: u32,
-    key: Box<[u8]>,
+pub(crate) struct Key {
+    pub(crate) tenant: Option<u32>,
+    pub(crate) class: u32,
+    pub(crate) key: Box<[u8]>,
 }
 
 #[derive(Debug)]
-enum State<A> {
+pub(crate) enum State<A> {
     /// Those who wait, in the order in which they came, with their deadlines.
     Running(Vec<(WaiterId, Micros)>),
     /// `None`: a marker, its answer was given up.
@@ -170,15 +291,35 @@
     Unsure {
         until: Micros,
     },
+    /// By hand.
+    Settled {
+        until: Micros,
+        verdict: Verdict,
+    },
 }
 
 #[derive(Debug)]
-struct Entry<A> {
-    key: Key,
-    serial: u64,
-    kind: Kind,
+pub(crate) struct Entry<A> {
+    pub(crate) key: Key,
+    pub(crate) serial: u64,
+    pub(crate) kind: Kind,
     digest: Digest,
-    state: State<A>,
+    /// When its first request came.
+    pub(crate) came: Micros,
+    pub(crate) state: State<A>,
+}
+
+impl<A> Entry<A> {
+    /// What it is at.
+    pub(crate) fn at(&self) -> KeyState {
+        match self.state {
+            State::Running(_) => KeyState::Running,
+            State::Answered { answer: Some(_), .. } => KeyState::Answered,
+            State::Answered { answer: None, .. } => KeyState::Forgotten,
+            State::Unsure { .. } => KeyState::Unsure,
+            State::Settled { verdict, .. } => verdict.state(),
+        }
+    }
 }
 
 /// What may be given up, the first to end by itself first. An entry is in one of the two at most.
@@ -216,7 +357,7 @@
     seed: Seeded,
     bounds: Bounds,
     places: HashMap<Key, usize, Seeded>,
-    entries: Vec<Option<Entry<A>>>,
+    pub(crate) entries: Vec<Option<Entry<A>>>,
     free: Vec<usize>,
     next_serial: u64,
     tenants: HashMap<Option<u32>, Tenant, Seeded>,
@@ -308,8 +449,10 @@
             if self.has_ended(now, place) {
                 self.remove(place);
                 self.counts.expired += 1;
+            } else if self.entries[place].as_ref().is_some_and(|entry| entry.at() == KeyState::NeverRan) {
+                self.remove(place);
             } else {
-                return self.repeat(place, request, waiter, deadline);
+                return self.repeat(now, place, request, waiter, deadline);
             }
         }
         if let Err(cause) = self.make_room(key.tenant) {
@@ -336,12 +479,22 @@
         self.waiting.insert((deadline, waiter, place));
         let state = State::Running(vec![(waiter, deadline)]);
         let (kind, digest) = (request.kind, request.digest);
-        self.entries[place] = Some(Entry { key, serial, kind, digest, state });
+        self.entries[place] = Some(Entry { key, serial, kind, digest, came: now, state });
         Arrival::First(Slot { place, serial })
     }
 
-    fn repeat(&mut self, place: usize, request: &Request, waiter: WaiterId, deadline: Micros) -> Arrival<A> {
-        let Some(entry) = &mut self.entries[place] else { return Arrival::Unsure };
+    fn repeat(
+        &mut self,
+        now: Micros,
+        place: usize,
+        request: &Request,
+        waiter: WaiterId,
+        deadline: Micros,
+    ) -> Arrival<A> {
+        let Some(entry) = &mut self.entries[place] else {
+            return Arrival::Known(Known { state: KeyState::Unsure, age: 0 });
+        };
+        let known = Known { state: entry.at(), age: now.saturating_sub(entry.came) };
         if entry.digest != request.digest {
             self.counts.mismatched += 1;
             return Arrival::Mismatch;
@@ -364,15 +517,41 @@
             }
             State::Answered { answer: None, .. } => {
                 self.counts.forgotten += 1;
-                Arrival::Forgotten
+                Arrival::Known(known)
             }
             State::Unsure { .. } => {
                 self.counts.unsure += 1;
-                Arrival::Unsure
+                Arrival::Known(known)
+            }
+            State::Settled { .. } => {
+                self.counts.told_by_hand += 1;
+                Arrival::Known(known)
             }
         }
     }
 
+    /// What is known of a key's run, for one who waited for it in vain.
+    pub fn known(&self, now: Micros, slot: Slot) -> Option<Known> {
+        let entry = self.entries.get(slot.place)?.as_ref().filter(|entry| entry.serial == slot.serial)?;
+        Some(Known { state: entry.at(), age: now.saturating_sub(entry.came) })
+    }
+
+    /// Those who wait for a running call, in the order in which they came.
+    pub fn waiters(&mut self, slot: Slot) -> Vec<WaiterId> {
+        self.running(slot).map(|waiters| waiters.iter().map(|&(id, _)| id).collect()).unwrap_or_default()
+    }
+
+    /// Whose key it is that runs in this slot.
+    pub fn tenant(&self, slot: Slot) -> Option<u32> {
+        let entry = self.entries.get(slot.place)?.as_ref().filter(|entry| entry.serial == slot.serial)?;
+        entry.key.tenant
+    }
+
+    /// For whoever drives the store: it counts here what it does with calls that linger.
+    pub fn counts_mut(&mut self) -> &mut Counts {
+        &mut self.counts
+    }
+
     /// One who waited has gone.
     pub fn gone(&mut self, slot: Slot, waiter: WaiterId) -> Left {
         let Some(waiters) = self.running(slot) else { return Left::Nothing };
@@ -412,20 +591,23 @@
         if entry.serial != slot.serial {
             return Ended::default();
         }
+        let at = entry.at();
         let waiters = match &mut entry.state {
             State::Running(waiters) => std::mem::take(waiters),
-            State::Unsure { .. } if matches!(end, End::Served { .. }) => {
+            State::Unsure { .. } | State::Settled { .. } if matches!(end, End::Served { .. }) => {
                 self.unlist(slot.place);
+                self.counts.late += 1;
                 Vec::new()
             }
-            State::Unsure { .. } | State::Answered { .. } => return Ended::default(),
+            _ => return Ended::default(),
         };
-        let mut ended = Ended { waiters: waiters.iter().map(|&(id, _)| id).collect(), next: None };
+        let late = Some(at).filter(|at| *at != KeyState::Running);
+        let mut ended = Ended { waiters: waiters.iter().map(|&(id, _)| id).collect(), next: None, late };
         match end {
             End::NeverRan if waiters.len() > 1 => {
                 // The first hears of its own end; the next takes its place, and the others wait on.
                 let (first, deadline) = waiters[0];
-                ended = Ended { waiters: vec![first], next: Some(waiters[1].0) };
+                ended = Ended { waiters: vec![first], next: Some(waiters[1].0), late: None };
                 self.waiting.remove(&(deadline, first, slot.place));
                 self.set(slot.place, State::Running(waiters[1..].to_vec()));
                 self.counts.firsts += 1;
@@ -433,6 +615,7 @@
             }
             End::NeverRan => self.remove(slot.place),
             End::Unsure => {
+                self.counts.ended_unsure += 1;
                 let until = now.saturating_add(self.retention(slot.place).unsure);
                 self.set(slot.place, State::Unsure { until });
                 self.list(slot.place);
@@ -454,7 +637,7 @@
         ended
     }
 
-    fn retention(&self, place: usize) -> crate::Retention {
+    pub(crate) fn retention(&self, place: usize) -> crate::Retention {
         let class = self.entries[place].as_ref().map_or(u32::MAX, |entry| entry.key.class);
         self.bounds.retention(class)
     }
@@ -466,42 +649,44 @@
         }
     }
 
-    fn set(&mut self, place: usize, state: State<A>) {
+    pub(crate) fn set(&mut self, place: usize, state: State<A>) {
         if let Some(entry) = &mut self.entries[place] {
             entry.state = state;
         }
     }
 
-    fn until(&self, place: usize) -> Option<Micros> {
+    pub(crate) fn until(&self, place: usize) -> Option<Micros> {
         match self.entries[place].as_ref()?.state {
             State::Running(_) => None,
-            State::Answered { until, .. } | State::Unsure { until } => Some(until),
+            State::Answered { until, .. } | State::Unsure { until } | State::Settled { until, .. } => {
+                Some(until)
+            }
         }
     }
 
-    fn has_ended(&self, now: Micros, place: usize) -> bool {
+    pub(crate) fn has_ended(&self, now: Micros, place: usize) -> bool {
         self.until(place).is_some_and(|until| until <= now)
     }
 
     /// The sets in which an entry that has ended stands: what may be given up, and how.
-    fn list(&mut self, place: usize) {
+    pub(crate) fn list(&mut self, place: usize) {
         let Some(until) = self.until(place) else { return };
         self.ends.insert((until, place));
         let Some(entry) = &self.entries[place] else { return };
         let tenant = self.tenants.entry(entry.key.tenant).or_default();
         let of = |spare: &mut Spare| match (&entry.state, entry.kind) {
             (State::Answered { answer: Some(_), .. }, _) => spare.answers.insert((until, place)),
-            (State::Answered { answer: None, .. }, _) | (State::Unsure { .. }, Kind::Keyed) => {
-                spare.rest.insert((until, place))
-            }
-            // Whether it ran nobody knows, and a second run is harm for good.
-            (State::Unsure { .. }, Kind::Unsafe) | (State::Running(_), _) => false,
+            (State::Answered { answer: None, .. }, _)
+            | (State::Unsure { .. } | State::Settled { .. }, Kind::Keyed)
+            | (State::Settled { verdict: Verdict::NeverRan, .. }, _) => spare.rest.insert((until, place)),
+            // It ran or may have, and its client knows nothing of it: a second run is harm for good.
+            (State::Unsure { .. } | State::Settled { .. }, Kind::Unsafe) | (State::Running(_), _) => false,
         };
         of(&mut tenant.spare);
         of(&mut self.spare);
     }
 
-    fn unlist(&mut self, place: usize) {
+    pub(crate) fn unlist(&mut self, place: usize) {
         let Some(until) = self.until(place) else { return };
         self.ends.remove(&(until, place));
         let Some(entry) = &self.entries[place] else { return };
--- a/library/src/error.rs
+++ b/library/src/error.rs
@@ -2,6 +2,7 @@
 
 use http::StatusCode;
 use nettleworks::requests::{self, Answer};
+use nettleworks_engine::{KeyState, Known};
 use std::fmt;
 use std::io;
 use std::time::Duration;
@@ -17,6 +18,14 @@
     },
     /// It failed: it may have run. Nothing tells whether a request that is unsafe to repeat took effect.
     Failed,
+    /// It may have run and there is no answer, and this is what is known of its idempotency key. Nothing is sent for
+    /// the key as long as the store remembers it.
+    Unsure {
+        /// What the key is at. `Running`: its answer may still come, and who asks again with the key gets it then.
+        state: KeyState,
+        /// How long ago the key's first request came.
+        age: Duration,
+    },
     /// It cannot be used, with the status that the daemon gives for it: 400 for a class, id, time or key that is
     /// missing, double or does not fit; 408 for a body that did not come in time; 409 for an id that is open; 411 for
     /// a framing that may hide a request; 413 for more than 64 KiB. It never ran.
@@ -28,7 +37,7 @@
 impl Error {
     /// Whether the call may have taken effect. `false` is a promise.
     pub fn may_have_run(&self) -> bool {
-        matches!(self, Error::Failed)
+        matches!(self, Error::Failed | Error::Unsure { .. })
     }
 
     /// When to come again, for one that was turned away.
@@ -44,6 +53,10 @@
         match self {
             Error::Refused { retry_after } => requests::refused(retry_after),
             Error::Failed => requests::plain(StatusCode::BAD_GATEWAY),
+            Error::Unsure { state, age } => {
+                let age = u64::try_from(age.as_micros()).unwrap_or(u64::MAX);
+                requests::unsure(Known { state, age })
+            }
             Error::Unusable(status) => requests::unusable(status),
             // It never ran, as with any refusal; another process may serve it.
             Error::Closed => requests::refused(Duration::from_secs(1)),
@@ -56,6 +69,9 @@
         match self {
             Error::Refused { retry_after } => write!(out, "turned away, come again in {retry_after:?}"),
             Error::Failed => out.write_str("failed, and may have run"),
+            Error::Unsure { state, age } => {
+                write!(out, "no answer for a key that is {} and came {age:?} ago", state.name())
+            }
             Error::Unusable(status) => write!(out, "cannot be used: {status}"),
             Error::Closed => out.write_str("the fleet has been shut down"),
         }
--- a/library/src/fleet.rs
+++ b/library/src/fleet.rs
@@ -318,6 +318,9 @@
             Ok(Reply::Served(answer)) => Ok(requests::served(answer)),
             Ok(Reply::Refused(retry_after)) => Err(Error::Refused { retry_after }),
             Ok(Reply::Failed) => Err(Error::Failed),
+            Ok(Reply::Unsure(known)) => {
+                Err(Error::Unsure { state: known.state, age: Duration::from_micros(known.age) })
+            }
             Ok(Reply::IdOpen) => Err(Error::Unusable(http::StatusCode::CONFLICT)),
             Ok(Reply::KeyTaken) => Err(Error::Unusable(http::StatusCode::UNPROCESSABLE_ENTITY)),
             Ok(Reply::BadKey) => Err(Error::Unusable(http::StatusCode::BAD_REQUEST)),
--- a/library/src/lib.rs
+++ b/library/src/lib.rs
@@ -54,4 +54,5 @@
 pub use nettleworks_engine::discovery::Health;
 pub use nettleworks_engine::protocol::Connections;
 pub use nettleworks_engine::state::{HostState, State};
+pub use nettleworks_engine::KeyState;
 pub use service::FleetService;
--- a/library/src/thread.rs
+++ b/library/src/thread.rs
@@ -76,6 +76,7 @@
                 Handle::start(config.clone(), Http1::new(&config), Rc::new(move |line: &str| log(line)));
             // Whoever starts it waits for this, and is there.
             let _ = up.send(Ok(driver.watch()));
+            let _operators = nettleworks::operators::start(&driver);
             run(driver, queue).await
         });
         // Before its end is told: what still holds descriptors goes first.
@@ -124,7 +125,8 @@
                         carry_out(&driver, command, &mut JoinSet::new(), &stopped);
                     }
                 }
-                if driver.waiting() == 0 {
+                // Those that nobody waits for may end too, but nobody is told of them.
+                if driver.waiting() == 0 && driver.lingering() == 0 {
                     break;
                 }
                 sleep(FINISH_LOOK).await;
--- a/policy/src/api.rs
+++ b/policy/src/api.rs
@@ -314,7 +314,14 @@
         /// The server's report.
         load: Load,
     },
-    /// Another waits for this call as well, and for longer: a repeat that is no call of its own.
+    /// Nobody waits for this call any more, but what is out of it goes on: it is not called off, nothing new is sent
+    /// for it, and it is in flight until it ends.
+    Lingers {
+        /// Which.
+        call: CallId,
+    },
+    /// Another waits for this call as well, and for longer: a repeat that is no call of its own. A call that lingers
+    /// is wanted again.
     Extended {
         /// Which.
         call: CallId,
--- a/policy/src/balance.rs
+++ b/policy/src/balance.rs
@@ -245,10 +245,20 @@
                 self.end(call);
                 self.cancel_others(call, Some(attempt), actions);
             }
-            Event::Extended { call, time_left } => {
+            Event::Lingers { call } if self.calls.get(&call).is_some_and(|c| !c.ended) => {
+                self.end(call);
+                self.calls.get_mut(&call).into_iter().for_each(|c| c.lingers = true);
+                self.forget(call);
+            }
+            Event::Extended { call: id, time_left } => {
                 // One that is held ends in its time and never ran: whoever waits longer may come anew.
-                if let Some(call) = self.calls.get_mut(&call).filter(|c| !c.ended && !c.held) {
+                let wanted = self.calls.get_mut(&id).filter(|c| (!c.ended || c.lingers) && !c.held);
+                if let Some(call) = wanted {
                     (call.arrived, call.deadline) = (now, call.deadline.max(now.saturating_add(time_left)));
+                    call.ended = false;
+                    if std::mem::take(&mut call.lingers) {
+                        self.watch_for_copy(now, id);
+                    }
                 }
             }
             Event::Gone { call } => {
@@ -258,7 +268,8 @@
             }
             // Of several alarms only the one due now counts: else each would set another for good.
             Event::Timer if now >= self.timer_at => self.timer_at = Micros::MAX,
-            Event::Timer | Event::Start | Event::Probed { .. } | Event::Request { .. } => {}
+            Event::Timer | Event::Start | Event::Probed { .. } => {}
+            Event::Request { .. } | Event::Lingers { .. } => {}
         }
         self.wake_calls(now, actions);
         if !stands {
@@ -578,7 +589,7 @@
     fn end(&mut self, id: CallId) {
         self.set_wake(id, 0);
         let Some(call) = self.calls.get_mut(&id) else { return };
-        call.ended = true;
+        (call.ended, call.lingers) = (true, false);
         if std::mem::take(&mut call.held) {
             if let Some(index) = self.hold.iter().position(|&held| held == id) {
                 self.hold.remove(index);
@@ -676,16 +687,23 @@
         let &mut Server { id: server, started, zone, cell, .. } = server;
         let (class_id, sent, outcome) = (call.class_id, now, None);
         call.attempts.push(Attempt { server, started, zone, cell, class_id, sent, trial, outcome });
-        let copies = call.attempts.len();
         // An answer after the aim is worth little: its server is better used by others.
-        let (aim, arrived) = (call.aim_at(), call.arrived);
-        let (deadline, usual) = (call.deadline, self.usual(class_id, self.calls[&id].class.aim));
+        let (aim, deadline) = (call.aim_at(), call.deadline);
+        let usual = self.usual(class_id, self.calls[&id].class.aim);
         if let Some(pool) = &mut self.pool {
             pool.charge(now, usual);
             pool.budget.trial_out |= trial == Trial::Pool;
         }
         let until = (aim < deadline && aim as f64 > now as f64 + usual).then_some(aim);
         actions.push(Action::Send { call: id, server, until });
+        self.watch_for_copy(now, id);
+    }
+
+    /// Has a call looked at when a second copy of its one attempt may be due.
+    fn watch_for_copy(&mut self, now: Micros, id: CallId) {
+        let call = &self.calls[&id];
+        let (aim, arrived, copies) = (call.aim_at(), call.arrived, call.attempts.len());
+        let usual = self.usual(call.class_id, call.class.aim);
         // The latest moment at which a second copy can still be in time, but not before the first is slow.
         let copy_at = (aim as f64 - SPARE_TIMES * usual).max(arrived as f64 + 1.5 * usual);
         // A shared budget tells nothing of one server: the copy would only add to the work.
--- a/policy/src/state.rs
+++ b/policy/src/state.rs
@@ -34,6 +34,8 @@
     pub(crate) attempts: Vec<Attempt>,
     pub(crate) held: bool,
     pub(crate) ended: bool,
+    /// It has ended for want of anybody who waits, and is wanted again if somebody comes.
+    pub(crate) lingers: bool,
     /// When the call is looked at next; 0: not by time.
     pub(crate) wake: Micros,
 }
--- a/policy/tests/random.rs
+++ b/policy/tests/random.rs
@@ -11,6 +11,8 @@
 struct Seen {
     attempts: Vec<(ServerId, Option<Outcome>, Micros)>,
     ended: bool,
+    /// Nobody waits for it, and what is out of it goes on.
+    lingers: bool,
     deadline: Micros,
     class: usize,
 }
@@ -72,6 +74,7 @@
                 seen.attempts[attempt].1 = Some(outcome);
                 let elapsed = proxy.now - seen.attempts[attempt].2;
                 seen.ended |= outcome == Outcome::Served;
+                seen.lingers &= outcome != Outcome::Served;
                 proxy.end(id, attempt as u32, outcome, elapsed)
             }
             8 if step % 7 == 0 => {
@@ -84,6 +87,19 @@
                 proxy.list(ListKind::Delta, vec![Entry { server, state, started, cell, ..Entry::default() }])
             }
             8 if step % 31 == 0 => proxy.list(ListKind::Failed, vec![]),
+            // Its client goes, and one that asks for the same comes later.
+            8 if step % 5 < 3 && !open.is_empty() => {
+                let (call, _) = open[below(open.len() as u64) as usize];
+                let seen = calls.get_mut(&call).expect("it is open");
+                if seen.lingers {
+                    (seen.ended, seen.lingers, seen.deadline) = (false, false, proxy.now + 1_200 * MS);
+                    proxy.event(Event::Extended { call, time_left: 1_200 * MS })
+                } else {
+                    seen.lingers = !seen.ended;
+                    seen.ended = true;
+                    proxy.event(Event::Lingers { call })
+                }
+            }
             _ => {
                 // Deadlines first, as the proxy's clock would bring them.
                 let mut all = Vec::new();
--- a/policy/tests/rules.rs
+++ b/policy/tests/rules.rs
@@ -40,6 +40,61 @@
     }
 }
 
+/// Nobody waits any more: what is out is not called off and stays in flight, nothing new is sent, and there is no end to
+/// give. Who comes for it makes it wanted again, with another attempt where its kind allows one.
+#[test]
+fn a_call_that_lingers_is_in_flight_and_goes_no_further() {
+    for (repeat, goes_again) in [(Repeat::Free, true), (Repeat::SingleShot, false), (CELL, true)] {
+        for wanted in [false, true] {
+            let mut proxy = Proxy::new(settings(repeat), 1);
+            let (call, actions) = proxy.call();
+            assert_eq!(sent(&actions).len(), 1);
+            assert_eq!(proxy.event(Event::Lingers { call }), []);
+            if wanted {
+                proxy.event(Event::Extended { call, time_left: 1_200 * MS });
+            }
+            proxy.now += 50 * MS;
+            let actions = proxy.end(call, 0, Outcome::Unknown, 50 * MS);
+            assert_eq!(sent(&actions).len(), usize::from(wanted && goes_again), "{repeat:?}");
+            assert_eq!(failed(&actions, call), wanted && !goes_again, "{repeat:?}");
+            assert!(!refused(&actions, call));
+        }
+        // With a budget of seven at the one server: the lingering one counts, the eighth is a trial, the ninth waits.
+        let mut proxy = Proxy::new(Settings { balancers: 1, ..settings(repeat) }, 1);
+        let calls: Vec<_> = (0..7).map(|_| proxy.call().0).collect();
+        proxy.event(Event::Lingers { call: calls[0] });
+        assert_eq!([proxy.call(), proxy.call()].map(|(_, actions)| sent(&actions).len()), [1, 0]);
+    }
+}
+
+/// A call that waits in the hold when its client goes leaves it; one that has ended is not brought back.
+#[test]
+fn a_held_call_does_not_linger_and_an_ended_one_is_not_wanted_again() {
+    let mut proxy = Proxy::new(settings(Repeat::Free), 0);
+    let (call, _) = proxy.call();
+    proxy.event(Event::Lingers { call });
+    proxy.event(Event::Extended { call, time_left: 1_200 * MS });
+    assert_eq!(sent(&proxy.list(ListKind::Full, vec![ready(1)])), []);
+    let (call, _) = proxy.call();
+    proxy.end(call, 0, Outcome::Served, 0);
+    proxy.event(Event::Lingers { call });
+    assert_eq!(proxy.event(Event::Extended { call, time_left: 1_200 * MS }), []);
+    let mut settings = settings(Repeat::Free);
+    settings.limits.second_copies = true;
+    let mut proxy = Proxy::new(settings, 2);
+    let (call, actions) = proxy.call();
+    let first = sent(&actions)[0].1;
+    let copy =
+        std::iter::repeat_with(|| proxy.wait(10 * MS)).take(100).find(|actions| !sent(actions).is_empty());
+    assert_ne!(sent(&copy.expect("a second copy"))[0].1, first);
+    proxy.event(Event::Lingers { call });
+    // Served once, the other copy is called off, and nobody brings it back.
+    let actions = proxy.end(call, 1, Outcome::Served, 10 * MS);
+    assert!(actions.contains(&Action::Cancel { call, attempt: 0 }));
+    proxy.event(Event::Extended { call, time_left: 1_200 * MS });
+    assert_eq!(sent(&proxy.end(call, 0, Outcome::CalledOff, 20 * MS)), []);
+}
+
 // No duplicated effect.
 
 const CODES: [Outcome; 8] = [
--- a/proxy/src/lib.rs
+++ b/proxy/src/lib.rs
@@ -3,6 +3,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod operators;
 pub mod requests;
 pub mod server;
 
@@ -27,6 +28,7 @@
 ) {
     let config = Rc::new(config);
     let driver = Handle::start(config.clone(), Http1::new(&config), log);
+    let _operators = operators::start(&driver);
     let reloads = async {
         while let Some(config) = reload().await {
             match config {
--- a/proxy/src/main.rs
+++ b/proxy/src/main.rs
@@ -1,9 +1,13 @@
 //! The program: reads the configuration, serves, reads it again on SIGHUP, and stops on SIGTERM.
 #![forbid(unsafe_code)]
 
+mod arguments;
+mod keys_command;
+
+use arguments::{Arguments, Command};
+use clap::Parser;
 use nettleworks::config::Config;
 use nettleworks::server;
-use std::ffi::OsString;
 use std::io::Write;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -11,36 +15,44 @@
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::task::LocalSet;
 
-const USAGE: &str = "\
-nettleworks: a client proxy that spreads an application's requests over a fleet of hosts
-
-usage:
-  nettleworks               serve, as the file that ROUTER_CONFIG names says
-  nettleworks FILE          serve, as this file says
-  nettleworks check FILE    say whether this file is a good configuration; exit status 1 if not
-  ... --keys FILE           with a store of idempotency keys, as this file says
-  nettleworks --help        say this
-  nettleworks --version     say the version
-
-SIGHUP reads the file again; SIGTERM answers what was taken and ends. docs/configuration.md explains every key.";
-
 fn main() -> ExitCode {
-    let mut words: Vec<OsString> = std::env::args_os().skip(1).collect();
-    // The store of keys has a file of its own.
-    let keys = words.iter().position(|word| word == "--keys").filter(|at| at + 1 < words.len());
-    let keys = keys.map(|at| words.drain(at..at + 2).nth(1).map(PathBuf::from).unwrap_or_default());
-    let texts: Vec<&str> = words.iter().map(|word| word.to_str().unwrap_or_default()).collect();
+    let arguments = match Arguments::try_parse() {
+        Ok(arguments) => arguments,
+        Err(error) if !error.use_stderr() => {
+            // Whoever asked for help may have stopped reading.
+            let _ = error.print();
+            return ExitCode::SUCCESS;
+        }
+        Err(error) => {
+            // One line, as every failure: up to the first empty one it says what is wrong.
+            let text = error.to_string();
+            let said: Vec<&str> =
+                text.lines().take_while(|line| !line.is_empty()).map(|line| line.trim()).collect();
+            let said = said.join(" ");
+            let said = said.strip_prefix("error: ").unwrap_or(&said);
+            let _ = writeln!(std::io::stderr(), "nettleworks: {said}; see nettleworks --help");
+            return ExitCode::FAILURE;
+        }
+    };
+    let Arguments { file, keys, command } = arguments;
     let files = |config| Files { config, keys: keys.clone() };
-    let done = match texts[..] {
-        [] => match std::env::var_os("ROUTER_CONFIG") {
+    let done = match (command, file) {
+        (Some(Command::Check { file }), _) => check(&files(file)),
+        (Some(Command::Keys { command, socket }), _) => {
+            let socket = socket.map_or_else(
+                || match &keys {
+                    Some(keys) => keys_command::socket_of(keys),
+                    None => Err("say --socket FILE, or --keys FILE with the proxy's".to_owned()),
+                },
+                Ok,
+            );
+            socket.and_then(|socket| keys_command::run(&socket, &command)).and_then(|text| say(&text))
+        }
+        (None, Some(file)) => start(&files(file)),
+        (None, None) => match std::env::var_os("ROUTER_CONFIG") {
             Some(path) => start(&files(path.into())),
             None => Err("ROUTER_CONFIG is not set; see nettleworks --help".to_owned()),
         },
-        ["--help" | "-h"] => say(USAGE),
-        ["--version" | "-V"] => say(concat!("nettleworks ", env!("CARGO_PKG_VERSION"))),
-        ["check", _] => check(&files(PathBuf::from(&words[1]))),
-        [word] if !word.starts_with('-') => start(&files(PathBuf::from(&words[0]))),
-        _ => Err("usage: nettleworks [--keys FILE] [FILE | check FILE | --help | --version]".to_owned()),
     };
     match done {
         Ok(()) => ExitCode::SUCCESS,
--- /dev/null
+++ b/proxy/src/operators.rs
@@ -0,0 +1,229 @@
+//! The operators' socket: a file, for its owner alone, over which keys are looked at and settled by hand.
+//!
+//! Each line is one JSON object, and so is its answer: `{"ok": …}` or `{"error": "…"}`. What is asked:
+//!
+//! - `{"op":"list","state":"unsure","class":"…","tenant":"…","older_ms":0,"key":"…","from":0}`, all but `op` left out
+//!   at will: a part of the keys that pass, and `next`, which is the `from` of the next part or null.
+//! - `{"op":"show","id":"12-345"}`: one key.
+//! - `{"op":"settle","id":"12-345","as":"ran","why":"…"}`, or `"as":"never-ran"`: settles an unsure key.
+
+use nettleworks_engine::config::Config;
+use nettleworks_engine::driver::Handle;
+use nettleworks_engine::http1::Http1;
+use nettleworks_engine::keys::{Filter, KeyState, Slot, Verdict, View};
+use nettleworks_engine::task::{self, Task};
+use serde::Deserialize;
+use serde_json::{json, Value};
+use std::fs::{self, DirBuilder, Permissions};
+use std::io;
+use std::os::unix::fs::{DirBuilderExt, PermissionsExt};
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::net::{UnixListener, UnixStream};
+use tokio::sync::Semaphore;
+use tokio::time::timeout;
+
+/// Most bytes of a line. The longest key and reason fit.
+const LINE_MOST: u64 = 64 << 10;
+/// Most bytes of a reason, which goes to the log.
+const WHY_MOST: usize = 512;
+/// Most connections at a time; a further one waits.
+const CONNECTIONS_MOST: usize = 4;
+/// How long a connection may say nothing, or not read.
+const SILENCE: Duration = Duration::from_secs(30);
+/// How many places of the store are looked through for one answer: calls wait meanwhile.
+const PLACES: usize = 2_048;
+
+/// What is asked of the socket.
+#[derive(Debug, Deserialize)]
+#[serde(tag = "op", rename_all = "lowercase", deny_unknown_fields)]
+enum Request {
+    List {
+        state: Option<String>,
+        class: Option<String>,
+        tenant: Option<String>,
+        #[serde(default)]
+        older_ms: u64,
+        key: Option<String>,
+        #[serde(default)]
+        from: usize,
+    },
+    Show {
+        id: String,
+    },
+    Settle {
+        id: String,
+        #[serde(rename = "as")]
+        verdict: String,
+        why: String,
+    },
+}
+
+/// Serves on the socket that the configuration of keys names for as long as what comes back is kept; nothing where it
+/// names none. What stands in the way of it is said in the log, and is no reason not to serve clients.
+pub fn start(driver: &Handle<Http1>) -> Option<Task> {
+    let path = driver.config().keys.as_ref()?.socket.clone()?;
+    match bind(&path) {
+        Ok(listener) => {
+            driver.log(&format!("keys: operators at {}", path.display()));
+            let driver = driver.clone();
+            Some(task::spawn(async move { serve(listener, File(path), driver).await }))
+        }
+        Err(error) => {
+            driver.log(&format!("keys: no operators at {}: {error}", path.display()));
+            None
+        }
+    }
+}
+
+/// The socket's file, which goes with the socket.
+struct File(PathBuf);
+
+impl Drop for File {
+    fn drop(&mut self) {
+        // Somebody may have removed it.
+        let _ = fs::remove_file(&self.0);
+    }
+}
+
+/// Listens at a file that only its owner can open, from its first moment on: it is made in a folder of its own and
+/// put in its place when it is ready. A file that a dead process has left is replaced.
+fn bind(path: &Path) -> io::Result<UnixListener> {
+    if std::os::unix::net::UnixStream::connect(path).is_ok() {
+        return Err(io::ErrorKind::AddrInUse.into());
+    }
+    if fs::symlink_metadata(path).is_ok_and(|there| {
+        use std::os::unix::fs::FileTypeExt;
+        !there.file_type().is_socket()
+    }) {
+        return Err(io::Error::new(io::ErrorKind::AlreadyExists, "a file that is no socket is there"));
+    }
+    let name = path.file_name().ok_or(io::ErrorKind::InvalidInput)?.to_string_lossy();
+    let folder = path.with_file_name(format!(".{name}.{}", std::process::id()));
+    // One that an earlier process of this number has left.
+    let _ = fs::remove_dir_all(&folder);
+    DirBuilder::new().mode(0o700).create(&folder)?;
+    let bound = (|| {
+        let made = folder.join("socket");
+        let listener = UnixListener::bind(&made)?;
+        fs::set_permissions(&made, Permissions::from_mode(0o600))?;
+        fs::rename(&made, path)?;
+        Ok(listener)
+    })();
+    let _ = fs::remove_dir_all(&folder);
+    bound
+}
+
+async fn serve(listener: UnixListener, file: File, driver: Handle<Http1>) {
+    let places = Arc::new(Semaphore::new(CONNECTIONS_MOST));
+    loop {
+        let Ok(place) = places.clone().acquire_owned().await else { return };
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let driver = driver.clone();
+                tokio::task::spawn_local(async move {
+                    // Whoever has gone, or is silent, has no use for more.
+                    let _ = converse(stream, &driver).await;
+                    drop(place);
+                });
+            }
+            Err(error) => {
+                driver.log(&format!("keys: {}: {error}", file.0.display()));
+                tokio::time::sleep(Duration::from_millis(100)).await;
+            }
+        }
+    }
+}
+
+async fn converse(stream: UnixStream, driver: &Handle<Http1>) -> io::Result<()> {
+    let who = stream.peer_cred().map_or("somebody".to_owned(), |peer| format!("uid {}", peer.uid()));
+    let (read, mut write) = stream.into_split();
+    let mut read = BufReader::new(read);
+    let mut line = Vec::new();
+    loop {
+        line.clear();
+        let mut limited = (&mut read).take(LINE_MOST);
+        timeout(SILENCE, limited.read_until(b'\n', &mut line)).await??;
+        if line.is_empty() {
+            return Ok(());
+        }
+        let whole = line.ends_with(b"\n");
+        let answer = if whole { answer(driver, &line, &who) } else { Err("the line is too long".to_owned()) };
+        let answer = match answer {
+            Ok(ok) => json!({ "ok": ok }),
+            Err(error) => json!({ "error": error }),
+        };
+        timeout(SILENCE, write.write_all(format!("{answer}\n").as_bytes())).await??;
+        if !whole {
+            return Ok(());
+        }
+    }
+}
+
+fn answer(driver: &Handle<Http1>, line: &[u8], who: &str) -> Result<Value, String> {
+    let request: Request = serde_json::from_slice(line).map_err(|error| error.to_string())?;
+    let config = driver.config();
+    let slot = |id: &str| id.parse::<Slot>().map_err(|error| format!("{id:?}: {error}"));
+    match request {
+        Request::List { state, class, tenant, older_ms, key, from } => {
+            let place = |what: &str, names: &[String], name: Option<String>| match name {
+                None => Ok(None),
+                Some(name) => match names.iter().position(|known| *known == name) {
+                    Some(place) => Ok(u32::try_from(place).ok()),
+                    None => Err(format!("{name:?}: no such {what}")),
+                },
+            };
+            let state = match state {
+                None => None,
+                Some(name) => Some(KeyState::named(&name).ok_or(format!("{name:?}: no such state"))?),
+            };
+            let filter = Filter {
+                state,
+                class: place("class", &config.classes, class)?,
+                tenant: place("tenant", &config.tenants, tenant)?,
+                older: older_ms.saturating_mul(1_000),
+                key: key.map(String::into_bytes),
+            };
+            let page = driver.keys_page(&filter, from, PLACES).ok_or("there is no store of keys")?;
+            let keys: Vec<Value> = page.keys.iter().map(|view| shown(&config, view)).collect();
+            Ok(json!({ "keys": keys, "next": page.next }))
+        }
+        Request::Show { id } => {
+            let view = driver.keys_view(slot(&id)?).ok_or("no such key, or another run of it")?;
+            Ok(shown(&config, &view))
+        }
+        Request::Settle { id, verdict, why } => {
+            let verdict = match &verdict[..] {
+                "ran" => Verdict::Ran,
+                "never-ran" => Verdict::NeverRan,
+                other => return Err(format!("{other:?}: a key is settled as ran or as never-ran")),
+            };
+            if why.trim().is_empty() || why.len() > WHY_MOST {
+                return Err(format!("a reason is needed, of {WHY_MOST} bytes at most"));
+            }
+            let settled =
+                driver.keys_settle(slot(&id)?, verdict, who, &why).map_err(|error| error.to_string())?;
+            let mut before = shown(&config, &settled.before);
+            before["settled_as"] = verdict.state().name().into();
+            before["left_ms"] = (settled.until / 1_000).into();
+            Ok(before)
+        }
+    }
+}
+
+fn shown(config: &Config, view: &View) -> Value {
+    let name = |names: &[String], place: u32| names.get(place as usize).cloned();
+    json!({
+        "id": view.slot.to_string(),
+        "key": view.key,
+        "class": name(&config.classes, view.class),
+        "tenant": view.tenant.and_then(|tenant| name(&config.tenants, tenant)),
+        "state": view.state.name(),
+        "age_ms": view.age / 1_000,
+        "left_ms": view.left.map(|left| left / 1_000),
+        "waiters": view.waiters,
+        "answer_bytes": view.answer_bytes,
+    })
+}
--- a/proxy/src/requests.rs
+++ b/proxy/src/requests.rs
@@ -11,7 +11,7 @@
 use nettleworks_engine::http1::{BoxError, Forward, Http1, BODY_MOST};
 use nettleworks_engine::keyed::Keys;
 use nettleworks_engine::socket::Socket;
-use nettleworks_engine::Kind;
+use nettleworks_engine::{KeyState, Kind, Known};
 use nettleworks_policy::{ClassId, Repeat, TenantId};
 use std::pin::pin;
 use std::time::Duration;
@@ -208,6 +208,7 @@
         Reply::Served(answer) => served(answer).map(Full::new),
         Reply::Refused(after) => refused(after),
         Reply::Failed => plain(StatusCode::BAD_GATEWAY),
+        Reply::Unsure(known) => unsure(known),
         Reply::IdOpen => unusable(StatusCode::CONFLICT),
         Reply::KeyTaken => plain(StatusCode::UNPROCESSABLE_ENTITY),
         Reply::BadKey => plain(StatusCode::BAD_REQUEST),
@@ -243,6 +244,30 @@
     answer
 }
 
+/// The answer for a key whose request ran or may have, where there is no answer to pass on: 502 with problem details
+/// (RFC 9457), so that an application can tell it from a bad gateway. `type` and the values of `key_state` do not
+/// change; `key_age_ms` counts from the key's first request.
+pub fn unsure(known: Known) -> Answer {
+    let (name, title) = match known.state {
+        KeyState::Running => ("key-running", "The request is still running."),
+        KeyState::Answered | KeyState::Forgotten | KeyState::Ran => {
+            ("key-ran", "The request has run, and its answer is not known here.")
+        }
+        KeyState::Unsure | KeyState::NeverRan => ("key-unsure", "The request may have run."),
+    };
+    let body = serde_json::json!({
+        "type": format!("urn:nettleworks:problem:{name}"),
+        "title": title,
+        "status": StatusCode::BAD_GATEWAY.as_u16(),
+        "key_state": known.state.name(),
+        "key_age_ms": known.age / 1_000,
+    });
+    let mut answer = plain(StatusCode::BAD_GATEWAY);
+    answer.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static("application/problem+json"));
+    *answer.body_mut() = Full::new(Bytes::from(body.to_string()));
+    answer
+}
+
 /// Turned away for good, and with it the connection: what else came on it might be read as a request.
 pub fn unusable(status: StatusCode) -> Answer {
     let mut answer = plain(status);
--- a/proxy/src/server.rs
+++ b/proxy/src/server.rs
@@ -94,8 +94,14 @@
         clients.serve(stream);
     }
     drop(listener);
-    // Whoever has sent half a request by then, or does not read its answer, must not keep the process.
-    let _ = timeout(STOP_MOST, clients.graceful.shutdown()).await;
+    // Whoever has sent half a request by then, or does not read its answer, must not keep the process; neither must
+    // calls that nobody waits for.
+    let driver = clients.driver.clone();
+    let _ = timeout(STOP_MOST, async {
+        clients.graceful.shutdown().await;
+        driver.settled().await;
+    })
+    .await;
 }
 
 /// What a client's connection is at, and since when.
--- /dev/null
+++ b/proxy/tests/suite/lingering.rs
@@ -0,0 +1,426 @@
+//! Keys whose first client has gone: what is written of the call goes on, and who asks again gets its answer.
+
+use crate::form::*;
+use serde_json::Value;
+use std::slice::from_ref;
+use std::time::Duration;
+use tokio::time::{sleep, Instant};
+
+const KEYS: &str = r#"{"classes": {"unsafe": {"forward": true}}}"#;
+const BOTH: [&str; 2] = ["unsafe", "keyed"];
+
+/// A charge or an entry under a key, by a client that waits so long.
+fn ask(class: &str, key: &str, wait: Duration) -> String {
+    let text = request(class, &format!("Idempotency-Key: {key}\r\n"), "pays");
+    text.replace("X-Budget-Ms: 8000", &format!("X-Budget-Ms: {}", wait.as_millis()))
+}
+
+fn long(class: &str, key: &str) -> String {
+    ask(class, key, Duration::from_secs(8))
+}
+
+/// A client asks, the host has it, and the client goes.
+async fn ask_and_go(proxy: &Proxy, host: &Host, text: &str) {
+    let before = host.count();
+    let mut client = proxy.client().await;
+    client.send(text).await;
+    eventually("the host has it", || host.count() > before).await;
+    drop(client);
+    proxy.has_noticed().await;
+}
+
+/// 502 with problem details that say what the key is at.
+fn is(answer: &Message, name: &str, state: &str) {
+    assert_eq!(answer.status(), 502);
+    assert_eq!(answer.header("content-type"), Some("application/problem+json"));
+    let body: Value = serde_json::from_slice(&answer.body).expect("an object");
+    assert_eq!(body["type"], format!("urn:nettleworks:problem:{name}"));
+    assert_eq!((&body["key_state"], &body["status"]), (&state.into(), &502.into()));
+    assert!(body["key_age_ms"].is_u64() && body["title"].is_string(), "{body}");
+}
+
+fn is_replayed(answer: &Message) -> bool {
+    answer.status() == 200 && answer.header("idempotency-replayed") == Some("true")
+}
+
+/// The first has gone when its call is written: the call goes on, and its answer is there for whoever asks again, while
+/// it runs or later.
+#[test]
+fn a_repeat_gets_the_answer_of_a_call_whose_client_has_gone() {
+    run(async {
+        for class in BOTH {
+            let host = Host::start([Act::Stall, Act::Stall, ok("never asked")]).await;
+            let proxy = Proxy::with_keys(from_ref(&host), KEYS, |_| ()).await;
+            // It comes again while the call runs.
+            ask_and_go(&proxy, &host, &long(class, "k1")).await;
+            let mut again = proxy.client().await;
+            again.send(&long(class, "k1")).await;
+            proxy.has_noticed().await;
+            host.release.notify_one();
+            let answer = again.message().await.expect("an answer");
+            assert!(is_replayed(&answer) && answer.body == b"released", "{class}: {answer:?}");
+            // It comes again when the call has been answered.
+            ask_and_go(&proxy, &host, &long(class, "k2")).await;
+            host.release.notify_one();
+            let answer = proxy.client().await.ask(&long(class, "k2")).await;
+            assert!(is_replayed(&answer) && answer.body == b"released", "{class}: {answer:?}");
+            assert_eq!(host.count(), 2, "{class}: each ran once");
+        }
+    });
+}
+
+/// Without lingering the call is called off, and nobody will ever know: the difference that it makes.
+#[test]
+fn where_calls_do_not_linger_the_key_is_unsure() {
+    run(async {
+        let host = Host::start([Act::Stall]).await;
+        let off = r#"{"classes": {"unsafe": {"linger_ms": 0}}}"#;
+        let proxy = Proxy::with_keys(from_ref(&host), off, |_| ()).await;
+        ask_and_go(&proxy, &host, &long("unsafe", "k")).await;
+        eventually("it is called off", || host.open.get() == 0).await;
+        is(&proxy.client().await.ask(&long("unsafe", "k")).await, "key-unsure", "unsure");
+        assert_eq!(host.count(), 1);
+    });
+}
+
+/// The first has gone before anything is written: nothing is, and a repeat is a first.
+#[test]
+fn what_is_not_written_when_its_client_goes_never_is() {
+    run(async {
+        let host = Host::start([ok("served")]).await;
+        let discovery = Discovery::quiet().await;
+        let config = configuration(discovery.address, &[], |_| ());
+        let proxy = Proxy::configured(Setup { config, keys: Some(KEYS.to_owned()) }).await;
+        eventually("it is watched", || !discovery.asked.borrow().is_empty()).await;
+        let mut client = proxy.client().await;
+        client.send(&long("unsafe", "k")).await;
+        proxy.has_noticed().await;
+        drop(client);
+        proxy.has_noticed().await;
+        let line = list(50, true, &[entry("s-0", host.address, "Ready")]);
+        discovery.push(&chunk(&line)).await;
+        let answer = proxy.client().await.ask(&long("unsafe", "k")).await;
+        assert_eq!((answer.status(), is_replayed(&answer)), (200, false));
+        assert_eq!(host.count(), 1, "it went once, for the client that waits");
+    });
+}
+
+/// Each deadline is its own: a repeat that waits for less than the call takes is told that it runs, and one that waits
+/// longer gets the answer. Neither makes it run again.
+#[test]
+fn repeats_of_a_lingering_call_have_their_own_deadlines() {
+    run(async {
+        for class in BOTH {
+            let host = Host::start([Act::Stall]).await;
+            let proxy = Proxy::with_keys(from_ref(&host), KEYS, |_| ()).await;
+            ask_and_go(&proxy, &host, &ask(class, "k", Duration::from_secs(2))).await;
+            let started = Instant::now();
+            let short = ask(class, "k", Duration::from_millis(120));
+            is(&proxy.client().await.ask(&short).await, "key-running", "running");
+            assert!(started.elapsed() < Duration::from_millis(1_000), "{:?}", started.elapsed());
+            // It lingers again, and is joined by one that waits for longer than the first would have.
+            let mut again = proxy.client().await;
+            again.send(&long(class, "k")).await;
+            proxy.has_noticed().await;
+            host.release.notify_one();
+            assert!(is_replayed(&again.message().await.expect("an answer")), "{class}");
+            assert_eq!(host.count(), 1, "{class}");
+        }
+    });
+}
+
+/// A client whose time runs out is told so in its time, and the call goes on as if it had gone.
+#[test]
+fn a_call_outlives_its_clients_time() {
+    run(async {
+        let host = Host::start([Act::Stall]).await;
+        let proxy = Proxy::with_keys(from_ref(&host), KEYS, |_| ()).await;
+        let mut client = proxy.client().await;
+        let answer = client.ask(&ask("unsafe", "k", Duration::from_millis(150))).await;
+        is(&answer, "key-running", "running");
+        host.release.notify_one();
+        let again = client.ask(&long("unsafe", "k")).await;
+        assert!(is_replayed(&again), "{again:?}");
+        assert_eq!(host.count(), 1);
+    });
+}
+
+/// The module's own time for an unsafe call is its class's aim, where a late answer is worth nothing. Its clients are
+/// told then, and the answer still settles the key.
+#[test]
+fn an_answer_past_the_aim_still_settles_its_key() {
+    run(async {
+        let host = Host::start([Act::Stall]).await;
+        let proxy = Proxy::with_keys(from_ref(&host), KEYS, |config| {
+            config["settings"]["classes"][2]["objective_us"] = 300_000.into();
+        })
+        .await;
+        let started = Instant::now();
+        let answer = proxy.client().await.ask(&long("unsafe", "k")).await;
+        is(&answer, "key-running", "running");
+        assert!(started.elapsed() < Duration::from_secs(2), "{:?}", started.elapsed());
+        host.release.notify_one();
+        assert!(is_replayed(&proxy.client().await.ask(&long("unsafe", "k")).await));
+        assert_eq!(host.count(), 1);
+    });
+}
+
+/// The first goes while its answer is read, and the repeat gets the whole of it.
+#[test]
+fn a_client_that_goes_while_its_answer_is_read_leaves_it_to_the_next() {
+    run(async {
+        for class in BOTH {
+            let (head, rest) = ("HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\npa", "id k");
+            let host = Host::start([Act::SayInTwo(head.to_owned(), rest.to_owned())]).await;
+            let proxy = Proxy::with_keys(from_ref(&host), KEYS, |_| ()).await;
+            ask_and_go(&proxy, &host, &long(class, "k")).await;
+            let mut again = proxy.client().await;
+            again.send(&long(class, "k")).await;
+            proxy.has_noticed().await;
+            host.release.notify_one();
+            let answer = again.message().await.expect("an answer");
+            assert!(is_replayed(&answer) && answer.body == b"paid k", "{class}: {answer:?}");
+            assert_eq!(host.count(), 1);
+        }
+    });
+}
+
+/// The host of a call that nobody waits for drains: it lets the call end, and its answer is kept.
+#[test]
+fn a_drain_lets_a_lingering_call_end() {
+    run(async {
+        let (host, other) = (Host::start([Act::Stall]).await, Host::start([ok("other")]).await);
+        let discovery = Discovery::quiet().await;
+        let config = configuration(discovery.address, from_ref(&host), |_| ());
+        let proxy = Proxy::configured(Setup { config, keys: Some(KEYS.to_owned()) }).await;
+        eventually("it is watched", || !discovery.asked.borrow().is_empty()).await;
+        ask_and_go(&proxy, &host, &long("unsafe", "k")).await;
+        let hosts = [entry("s-0", host.address, "Terminating"), entry("s-1", other.address, "Ready")];
+        discovery.push(&chunk(&list(50, true, &hosts))).await;
+        // It has heard of it once a request goes to the other one.
+        while proxy.client().await.ask(&request("free", "", "")).await.body != b"other" {
+            sleep(Duration::from_millis(5)).await;
+        }
+        assert_eq!(host.open.get(), 1, "its connection is kept");
+        host.release.notify_one();
+        let answer = proxy.client().await.ask(&long("unsafe", "k")).await;
+        assert!(is_replayed(&answer) && answer.body == b"released", "{answer:?}");
+        eventually("it is closed then", || host.open.get() == 0).await;
+        assert_eq!(host.count(), 1);
+    });
+}
+
+/// The host dies, or its answer is spoilt, while nobody waits: whoever asks again hears that nobody knows, and nothing
+/// goes again, for entries neither.
+#[test]
+fn a_lingering_call_that_fails_leaves_its_key_unsure() {
+    run(async {
+        let head = "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\npa".to_owned();
+        for class in BOTH {
+            for act in [Act::Stall, Act::SayInTwo("HTTP/1.1 ".to_owned(), "nonsense\r\n\r\n".to_owned())] {
+                let hosts = [Host::start([act.clone()]).await];
+                let proxy = Proxy::with_keys(&hosts, KEYS, |_| ()).await;
+                ask_and_go(&proxy, &hosts[0], &long(class, "k")).await;
+                match act {
+                    Act::Stall => hosts[0].kill(),
+                    _ => hosts[0].release.notify_one(),
+                }
+                eventually("its connection has gone", || hosts[0].open.get() == 0).await;
+                proxy.has_noticed().await;
+                is(&proxy.client().await.ask(&long(class, "k")).await, "key-unsure", "unsure");
+                assert_eq!(hosts[0].count(), 1);
+            }
+            // Cut short.
+            let host = Host::start([Act::SayInTwo(head.clone(), String::new())]).await;
+            let proxy = Proxy::with_keys(from_ref(&host), KEYS, |_| ()).await;
+            ask_and_go(&proxy, &host, &long(class, "k")).await;
+            host.kill();
+            eventually("its connection has gone", || host.open.get() == 0).await;
+            proxy.has_noticed().await;
+            is(&proxy.client().await.ask(&long(class, "k")).await, "key-unsure", "unsure");
+        }
+    });
+}
+
+/// The host answers twice while nobody waits: the first answer is the key's, and the second nobody's.
+#[test]
+fn a_second_answer_to_a_lingering_call_is_nobodys() {
+    run(async {
+        let one = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none";
+        let two = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\ntwo";
+        let twice = Act::SayInTwo(String::new(), [one, two].concat());
+        let host = Host::start([twice, ok("own")]).await;
+        let proxy = Proxy::with_keys(from_ref(&host), KEYS, |_| ()).await;
+        ask_and_go(&proxy, &host, &long("unsafe", "k")).await;
+        host.release.notify_one();
+        let again = proxy.client().await.ask(&long("unsafe", "k")).await;
+        assert!(is_replayed(&again) && again.body == b"one", "{again:?}");
+        assert_eq!(proxy.client().await.ask(&long("unsafe", "k2")).await.body, b"own");
+    });
+}
+
+/// The host never answers: the call lingers no longer than its time, its connection is closed and its key is unsure.
+#[test]
+fn a_call_lingers_no_longer_than_its_time() {
+    run(async {
+        for (keys, deadline) in [
+            (r#"{"classes": {"unsafe": {"linger_ms": 200}}}"#, 9_000_000),
+            // Within its class's time, without more.
+            ("{}", 600_000),
+        ] {
+            let host = Host::start([Act::Stall]).await;
+            let proxy = Proxy::with_keys(from_ref(&host), keys, |config| {
+                config["settings"]["classes"][2]["deadline_us"] = deadline.into();
+            })
+            .await;
+            ask_and_go(&proxy, &host, &long("unsafe", "k")).await;
+            assert_eq!(host.open.get(), 1, "it lingers");
+            let started = Instant::now();
+            eventually("it is closed", || host.open.get() == 0).await;
+            assert!(started.elapsed() < Duration::from_secs(3), "{:?}", started.elapsed());
+            proxy.has_noticed().await;
+            is(&proxy.client().await.ask(&long("unsafe", "k")).await, "key-unsure", "unsure");
+        }
+    });
+}
+
+/// At a bound the oldest call that nobody waits for is called off, and becomes unsure; the others go on.
+#[test]
+fn at_a_bound_the_oldest_lingering_call_is_called_off() {
+    run(async {
+        for bound in ["lingering", "lingering_a_host", "lingering_a_tenant"] {
+            let host = Host::start([Act::Stall]).await;
+            let keys = format!(r#"{{"{bound}": 2}}"#);
+            let proxy = Proxy::with_keys(from_ref(&host), &keys, |_| ()).await;
+            for key in ["k1", "k2", "k3"] {
+                ask_and_go(&proxy, &host, &long("unsafe", key)).await;
+            }
+            eventually("one is closed", || host.open.get() == 2).await;
+            is(&proxy.client().await.ask(&long("unsafe", "k1")).await, "key-unsure", "unsure");
+            let short = ask("unsafe", "k2", Duration::from_millis(100));
+            is(&proxy.client().await.ask(&short).await, "key-running", "running");
+            assert_eq!(host.count(), 3, "{bound}");
+        }
+    });
+}
+
+/// Half of a request is written when its client goes: nothing more of it is sent, and as some of it was, nobody knows.
+#[test]
+fn a_request_that_is_half_written_is_called_off() {
+    run(async {
+        let listener = narrow_listener();
+        let address = listener.local_addr().expect("an address");
+        let discovery = Discovery::quiet().await;
+        let config = configuration(discovery.address, &[], |config| {
+            config["known"] =
+                serde_json::json!({"seq": 1, "whole": true, "hosts": [entry("s-0", address, "Ready")]});
+        });
+        let proxy = Proxy::configured(Setup { config, keys: Some(KEYS.to_owned()) }).await;
+        let body = "x".repeat(60_000);
+        let text = request("unsafe", "Idempotency-Key: k\r\n", &body);
+        let mut client = proxy.client().await;
+        client.send(&text).await;
+        let (stream, _) = listener.accept().await.expect("accepted");
+        stream.readable().await.expect("it is written to");
+        proxy.has_noticed().await;
+        drop(client);
+        proxy.has_noticed().await;
+        // Only now the host reads: it finds less than the request, and its end.
+        let mut read = 0;
+        loop {
+            stream.readable().await.expect("readable");
+            let mut buffer = [0; 4_096];
+            match stream.try_read(&mut buffer) {
+                Ok(0) => break,
+                Ok(count) => read += count,
+                Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {}
+                Err(_) => break,
+            }
+        }
+        assert!(read > 0 && read < body.len(), "{read}");
+        is(&proxy.client().await.ask(&text).await, "key-unsure", "unsure");
+    });
+}
+
+/// A client's machine dies without a word: its connection stays open and nobody reads. The repeat comes from elsewhere.
+#[test]
+fn a_client_that_dies_without_a_word_keeps_nothing_from_the_next() {
+    run(async {
+        let host = Host::start([Act::Stall]).await;
+        let proxy = Proxy::with_keys(from_ref(&host), KEYS, |_| ()).await;
+        let mut dead = proxy.client().await;
+        dead.send(&ask("unsafe", "k", Duration::from_millis(200))).await;
+        eventually("the host has it", || host.count() == 1).await;
+        // Past its time the proxy has answered, into nowhere.
+        dead.stream.readable().await.expect("its answer");
+        let mut again = proxy.client().await;
+        again.send(&long("unsafe", "k")).await;
+        proxy.has_noticed().await;
+        host.release.notify_one();
+        assert!(is_replayed(&again.message().await.expect("an answer")));
+        assert_eq!(host.count(), 1);
+    });
+}
+
+/// A keyed repeat outside its window: while the store remembers the key, nothing goes to a host, however late it comes.
+#[test]
+fn a_keyed_repeat_outside_its_window_gets_what_is_known() {
+    run(async {
+        let host = Host::start([ok("one"), Act::Reset, ok("other")]).await;
+        let proxy = Proxy::with_keys(from_ref(&host), KEYS, |config| {
+            config["settings"]["classes"][1]["repeat_window_us"] = 20_000.into();
+        })
+        .await;
+        assert_eq!(proxy.client().await.ask(&long("keyed", "k1")).await.body, b"one");
+        sleep(Duration::from_millis(60)).await;
+        assert!(is_replayed(&proxy.client().await.ask(&long("keyed", "k1")).await));
+        // One that broke may go again within the window, and not after it.
+        let broken = proxy.client().await.ask(&long("keyed", "k2")).await;
+        let count = host.count();
+        sleep(Duration::from_millis(60)).await;
+        let again = proxy.client().await.ask(&long("keyed", "k2")).await;
+        match broken.status() {
+            200 => assert!(is_replayed(&again)),
+            _ => is(&again, "key-unsure", "unsure"),
+        }
+        assert_eq!(host.count(), count, "nothing went again");
+    });
+}
+
+/// Hundreds of clients send a charge and hang up, on a new key each, again and again: connections to hosts stay within
+/// bounds, and those who wait for their answers get them.
+#[test]
+fn clients_that_hang_up_take_nothing_from_those_that_wait() {
+    const HANG_UPS: usize = 400;
+    const ASKED: usize = 300;
+    run(async {
+        let ledger = Ledger::default();
+        let plan = Plan { service: Duration::from_millis(4), ..Plan::default() };
+        let mut hosts = Vec::new();
+        for number in 0..2 {
+            hosts.push(Host::planned(&format!("s-{number}"), 3, plan.clone(), &ledger).await);
+        }
+        let proxy = Proxy::with_keys(&hosts, r#"{"lingering": 16}"#, |_| ()).await;
+        let address = proxy.address;
+        let hang_up = tokio::task::spawn_local(async move {
+            for number in 0..HANG_UPS {
+                let mut client: Client =
+                    Reader::new(tokio::net::TcpStream::connect(address).await.expect("it accepts"));
+                client.send(&long("unsafe", &format!("gone-{number}"))).await;
+                sleep(Duration::from_millis(1)).await;
+            }
+        });
+        let (mut served, mut most) = (0, 0);
+        let mut client = proxy.client().await;
+        for number in 0..ASKED {
+            let class = ["free", "keyed", "unsafe"][number % 3];
+            served += usize::from(client.ask(&request(class, "", "")).await.status() == 200);
+            most = most.max(hosts.iter().map(|host| host.open.get()).sum());
+        }
+        assert!(served * 100 >= ASKED * 95, "{served} of {ASKED}");
+        // What lingers, what is being asked for, and connections that wait to be closed.
+        assert!(most <= 16 + 48, "{most} connections to hosts");
+        hang_up.await.expect("they hang up");
+        assert_eq!(ledger.twice(Duration::from_secs(9)), []);
+    });
+}
--- a/proxy/tests/suite/mod.rs
+++ b/proxy/tests/suite/mod.rs
@@ -3,4 +3,5 @@
 
 mod discovery;
 mod hosts;
+mod lingering;
 mod requests;
--- a/standins/src/host.rs
+++ b/standins/src/host.rs
@@ -3,7 +3,7 @@
 use crate::ledger::Ledger;
 use crate::message::{Message, Reader};
 use crate::plan::Plan;
-use socket2::SockRef;
+use socket2::{Domain, SockRef, Socket, Type};
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
@@ -26,6 +26,8 @@
     SayAndClose(String),
     /// Says nothing until the other side closes or the host is told to release it.
     Stall,
+    /// Says the first now, and the rest when the host is told to release it.
+    SayInTwo(String, String),
     /// Resets the connection. The request has run.
     Reset,
     /// Resets the connection as if the request had not been read: it never runs.
@@ -39,7 +41,7 @@
     fn runs(&self) -> bool {
         match self {
             Act::Say(text) | Act::SayAndClose(text) => !text.contains("X-Rejected: 1"),
-            Act::SayBytes(_) | Act::Stall | Act::Reset => true,
+            Act::SayBytes(_) | Act::SayInTwo(..) | Act::Stall | Act::Reset => true,
             Act::ResetBefore => false,
             Act::Late(_, act) => act.runs(),
         }
@@ -227,6 +229,15 @@
             let said = match act {
                 Act::Say(text) => write.write_all(text.as_bytes()).await,
                 Act::SayBytes(bytes) => write.write_all(&bytes).await,
+                Act::SayInTwo(first, rest) => {
+                    if write.write_all(first.as_bytes()).await.is_err() {
+                        return;
+                    }
+                    tokio::select! {
+                        _ = reader.more() => return,
+                        () = self.release.notified() => write.write_all(rest.as_bytes()).await,
+                    }
+                }
                 Act::SayAndClose(text) => {
                     let _ = write.write_all(text.as_bytes()).await;
                     return;
@@ -253,6 +264,19 @@
     }
 }
 
+/// A listener with little room and small segments: a request of some 10 kB does not fit into what the two systems keep
+/// of it, as long as nobody reads.
+pub fn narrow_listener() -> TcpListener {
+    let listener = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    listener.set_recv_buffer_size(2_048).expect("little room");
+    listener.set_tcp_mss(536).expect("small segments");
+    listener.set_nonblocking(true).expect("nonblocking");
+    let any: SocketAddr = "127.0.0.1:0".parse().expect("an address");
+    listener.bind(&any.into()).expect("a port");
+    listener.listen(8).expect("it listens");
+    TcpListener::from_std(listener.into()).expect("a listener")
+}
+
 /// The next close of this stream resets it.
 fn reset(stream: &TcpStream) {
     // A stream that the other side has reset already needs none.
