Write nothing for a withdrawn attempt; a storm of repeats as a load and a measurement

Cause: an attempt that is withdrawn counts as one that never ran, but its task ends only when it is polled next. Drains and calls whose client left had the same gap.

Change: an attempt's meter is revoked with the attempt, and the socket writes nothing for a revoked one.

--- a/engine/src/calls.rs
+++ b/engine/src/calls.rs
@@ -143,3 +143,10 @@
     /// Ends the exchange and closes its connection when dropped.
     pub _task: Task,
 }
+
+impl Drop for Attempt {
+    fn drop(&mut self) {
+        // The task ends when it is polled next; nothing may be written by then.
+        self.meter.revoke();
+    }
+}
--- a/engine/src/driver.rs
+++ b/engine/src/driver.rs
@@ -507,14 +507,16 @@
             let (handle, meter) = (handle.clone(), meter.clone());
             task::spawn(async move {
                 // It is over then, whatever the protocol does.
-                let mut exchange = std::pin::pin!(exchange);
                 let end = match limit {
                     None => timeout_at(until, exchange).await.ok(),
-                    Some(limit) if alone => match timeout_at(until, &mut exchange).await {
-                        Ok(end) => Some(end),
-                        Err(_) if handle.time_is_up(id) => until_moved(&limit, exchange).await,
-                        Err(_) => None,
-                    },
+                    Some(limit) if alone => {
+                        let mut exchange = std::pin::pin!(exchange);
+                        match timeout_at(until, &mut exchange).await {
+                            Ok(end) => Some(end),
+                            Err(_) if handle.time_is_up(id) => until_moved(&limit, exchange).await,
+                            Err(_) => None,
+                        }
+                    }
                     Some(limit) => until_moved(&limit, exchange).await,
                 };
                 let end = end.unwrap_or_else(|| match meter.bytes() {
--- a/engine/src/http1/exchange.rs
+++ b/engine/src/http1/exchange.rs
@@ -285,3 +285,70 @@
         assert_eq!(report(&headers).in_hand, Some(1.0));
     }
 }
+
+#[cfg(test)]
+mod connection_tests {
+    use super::*;
+    use std::future::Future;
+    use tokio::io::AsyncReadExt;
+    use tokio::net::TcpListener;
+    use tokio::task::LocalSet;
+
+    fn run<T>(test: impl Future<Output = T>) -> T {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+        LocalSet::new().block_on(&runtime, test)
+    }
+
+    async fn pair() -> (Connection, TcpStream) {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let open = Connection::open(address, Duration::from_secs(5), Rc::new(())).await.expect("it opens");
+        (open, listener.accept().await.expect("accepted").0)
+    }
+
+    /// A request is with its connection's task, which has written nothing yet, when its attempt is withdrawn as one that
+    /// never ran. That must stay true, though the attempt's own task ends only when it is polled next.
+    #[test]
+    fn nothing_is_written_for_an_attempt_that_was_withdrawn() {
+        run(async {
+            let (connection, mut host) = pair().await;
+            let meter = Meter::default();
+            let request = Request::new(Outgoing::new(Bytes::from_static(b"body"), &meter));
+            let mut exchange = Box::pin(exchange(connection, request, &meter));
+            // It hands the request over.
+            assert!(std::future::poll_fn(|c| Poll::Ready(exchange.as_mut().poll(c).is_pending())).await);
+            assert_eq!(meter.bytes(), 0);
+            meter.revoke();
+            // The connection's task is polled, and the attempt's is still there.
+            for _ in 0..8 {
+                yield_now().await;
+            }
+            assert_eq!(meter.bytes(), 0);
+            drop(exchange);
+            let mut read = Vec::new();
+            // Closed or reset, with nothing before it.
+            let _ = host.read_to_end(&mut read).await;
+            assert_eq!(read, b"");
+        });
+    }
+
+    /// An attempt is whole when its last byte is written, with a body and without one, and not before.
+    #[test]
+    fn an_attempt_is_whole_when_its_last_byte_is_written() {
+        run(async {
+            for body in ["", "body"] {
+                let (connection, mut host) = pair().await;
+                let meter = Meter::default();
+                let request = Request::new(Outgoing::new(Bytes::from_static(body.as_bytes()), &meter));
+                let mut exchange = Box::pin(exchange(connection, request, &meter));
+                assert!(std::future::poll_fn(|c| Poll::Ready(exchange.as_mut().poll(c).is_pending())).await);
+                assert!(!meter.is_whole());
+                yield_now().await;
+                assert!(meter.is_whole(), "{body:?}");
+                let mut read = vec![0; meter.bytes()];
+                host.read_exact(&mut read).await.expect("all of it is there");
+                assert!(read.ends_with(body.as_bytes()));
+            }
+        });
+    }
+}
--- a/engine/src/protocol.rs
+++ b/engine/src/protocol.rs
@@ -23,6 +23,7 @@
     /// All of the request has been made into bytes.
     made: Cell<bool>,
     whole: Cell<bool>,
+    revoked: Cell<bool>,
 }
 
 impl Meter {
@@ -48,6 +49,17 @@
         }
     }
 
+    /// Nothing more may be written for the attempt. Its task may be told to end and be polled only later, and what it
+    /// has handed to its connection is written by another.
+    pub fn revoke(&self) {
+        self.0.revoked.set(true);
+    }
+
+    /// Whether nothing more may be written.
+    pub fn is_revoked(&self) -> bool {
+        self.0.revoked.get()
+    }
+
     /// Whether all of it is written.
     pub fn is_whole(&self) -> bool {
         self.0.whole.get()
--- a/engine/src/socket.rs
+++ b/engine/src/socket.rs
@@ -90,7 +90,8 @@
 impl Write for Socket {
     fn poll_write(self: Pin<&mut Self>, context: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
         let mut io = self.0.io.borrow_mut();
-        let Some(io) = io.as_mut() else { return Poll::Ready(Err(io::ErrorKind::NotConnected.into())) };
+        let open = io.as_mut().filter(|_| !self.0.meter.borrow().is_revoked());
+        let Some(io) = open else { return Poll::Ready(Err(io::ErrorKind::NotConnected.into())) };
         let written = Pin::new(io).poll_write(context, bytes);
         if let Poll::Ready(Ok(count)) = written {
             self.0.meter.borrow().add(count);
--- a/standins/src/host.rs
+++ b/standins/src/host.rs
@@ -219,12 +219,15 @@
                 self.ledger.record(&self.name, self.pod, &message);
             }
             if self.plan.borrow().is_none() {
-                self.seen.borrow_mut().push(message);
+                self.seen.borrow_mut().push(message.clone());
             }
             while let Act::Late(time, then) = act {
                 sleep(time).await;
                 act = *then;
             }
+            if matches!(&act, Act::Say(text) if text.starts_with("HTTP/1.1 200 ")) {
+                self.ledger.answered(&message);
+            }
             // What is of no use to the other side may find the connection closed.
             let said = match act {
                 Act::Say(text) => write.write_all(text.as_bytes()).await,
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -24,6 +24,7 @@
 mod proxy;
 mod registry;
 mod site;
+mod storm;
 mod wait;
 
 pub use client::{request, Client, HEALTH};
@@ -38,4 +39,5 @@
 pub use proxy::{Form, Inside, Program, Proxy, Setup};
 pub use registry::Registry;
 pub use site::{Inside as SiteInside, Site};
+pub use storm::{Aftermath, Got, Storm};
 pub use wait::{eventually, run, PATIENCE};
