--- a/keys/src/linger.rs
+++ b/keys/src/linger.rs
@@ -20,9 +20,9 @@
 }
 
 impl Default for LingerBounds {
-    /// 128 in all, 32 at a host, 64 of a tenant.
+    /// 128 in all, 8 at a host, 64 of a tenant.
     fn default() -> Self {
-        LingerBounds { all: 128, a_host: 32, a_tenant: 64 }
+        LingerBounds { all: 128, a_host: 8, a_tenant: 64 }
     }
 }
 
