Make the engine a way of stations; the store of keys is the first of them

Need: the store stood at ten places of the driver, ten files imported each other in a circle, and configuration knew every subsystem; all that comes next would have done the same.

Change: one small trait (engine/src/station.rs) and a desk that a station works at; a request passes the stations, an end goes back through all that took it, in a stated order. keys/station/ is the adapter, and reads its own file.

--- /dev/null
+++ b/engine/src/calls/mod.rs
@@ -0,0 +1,128 @@
+//! Calls: what comes in of one, who waits for it, and its one final answer. What is out of it is in [`call`].
+
+pub(crate) mod call;
+
+use crate::protocol::Protocol;
+use hyper::body::Bytes;
+use nettleworks_policy::{CallId, ClassId, TenantId};
+use std::fmt;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::{oneshot, OwnedSemaphorePermit};
+use tokio::time::Instant;
+
+/// What the decision module is told of a request.
+#[derive(Clone, Debug)]
+pub struct Ask<I> {
+    /// Its id, which no other open request has.
+    pub id: I,
+    /// Its class.
+    pub class: ClassId,
+    /// Whose it is.
+    pub tenant: Option<TenantId>,
+    /// Until when the client is to have its answer.
+    pub deadline: Instant,
+    /// The client has tried before.
+    pub resent: bool,
+    /// Its idempotency key, where one is of any use here.
+    pub key: Option<Bytes>,
+}
+
+/// What is known of a request that may have run and has no answer to give.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Doubt {
+    /// What it is at, by a name that does not change.
+    pub at: &'static str,
+    /// How long ago it first came.
+    pub age: Duration,
+}
+
+/// The one final answer of a request.
+#[derive(Clone, Debug)]
+pub enum Reply<A> {
+    /// A host's answer.
+    Served(A),
+    /// Turned away; it never ran, and the client may come again after this time.
+    Refused(Duration),
+    /// Failed; it may have run.
+    Failed,
+    /// It may have run and there is no answer, and this is what is known of it.
+    Unsure(Doubt),
+    /// Its id is that of an open call: hosts would take the two for one. It never ran.
+    IdOpen,
+    /// Its key belongs to another request. It never ran.
+    KeyTaken,
+    /// Its key cannot be one. It never ran.
+    BadKey,
+}
+
+/// Who waits for a call's answer.
+#[derive(Debug)]
+pub struct Caller<A> {
+    /// Where its one answer goes.
+    pub reply: oneshot::Sender<Reply<A>>,
+    /// A place among the open calls, set free when it is answered or its caller has gone.
+    pub place: Option<OwnedSemaphorePermit>,
+}
+
+impl<A> Caller<A> {
+    pub(crate) fn answer(self, reply: Reply<A>) {
+        // Free before the answer is there: whoever has it may ask again at once.
+        drop(self.place);
+        // A client that has just gone has no use for it.
+        let _ = self.reply.send(reply);
+    }
+}
+
+/// Who hears of a call's end.
+#[derive(Debug)]
+pub(crate) enum Owner<A> {
+    /// One caller.
+    Caller(Caller<A>),
+    /// The station of this place on the way, which has taken it.
+    Station(usize),
+}
+
+/// A request on its way in, from station to station, until it is a call that the module hears of. Who waits for it goes
+/// with it: whoever takes it in answers it once, by [`crate::station::Desk::answer`].
+pub struct Guest<P: Protocol> {
+    pub(crate) number: CallId,
+    pub(crate) ask: Ask<P::Id>,
+    pub(crate) request: Rc<P::Request>,
+    pub(crate) owner: Owner<P::Answer>,
+    pub(crate) outlives: Option<Outlives>,
+    /// Its id is that of a call at hosts, which sets it free.
+    pub(crate) id_is_out: bool,
+}
+
+/// How a call may go on when nobody waits for it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Outlives {
+    /// Until when its attempts may go on.
+    pub until: Instant,
+    /// Also past an end that the module has set for an attempt, as it can never go again.
+    pub past_aim: bool,
+}
+
+impl<P: Protocol> Guest<P> {
+    /// Its number, which names its call too.
+    pub fn number(&self) -> CallId {
+        self.number
+    }
+
+    /// What it says of itself.
+    pub fn ask(&self) -> &Ask<P::Id> {
+        &self.ask
+    }
+
+    /// What it carries.
+    pub fn request(&self) -> &P::Request {
+        &self.request
+    }
+}
+
+impl<P: Protocol> fmt::Debug for Guest<P> {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        out.debug_struct("Guest").field("number", &self.number).finish_non_exhaustive()
+    }
+}
--- a/engine/src/config.rs
+++ b/engine/src/config.rs
@@ -1,7 +1,7 @@
 //! What the proxy is told at start: the file that `ROUTER_CONFIG` names.
 
-use crate::discovery::List;
-use crate::keyed::Keys;
+use crate::extras::Extras;
+use crate::list::List;
 use nettleworks_policy::Settings;
 use serde::{Deserialize, Deserializer};
 use serde_json::Value;
@@ -38,8 +38,8 @@
     pub conn_idle: Duration,
     /// Most calls that an application may have open through the library; `None`: a third of the descriptors.
     pub calls: Option<usize>,
-    /// The store of idempotency keys; `None`: there is none.
-    pub keys: Option<Keys>,
+    /// What stations are told; each reads a file of its own.
+    pub extras: Extras,
     /// Places of the keys that are not known, outside the settings. They may be a later platform's, or slips.
     pub unknown: Vec<String>,
     /// Places of the settings that are not used here. The platform tells more than it takes.
@@ -172,31 +172,21 @@
             connect_timeout: Duration::from_micros(site.connect_timeout_us),
             conn_idle: Duration::from_micros(site.conn_idle_us),
             calls: file.nettleworks.calls,
-            keys: None,
+            extras: Extras::default(),
             unknown,
             unused,
         })
     }
 
-    /// The same with a store of keys, as this text (`docs/configuration.md`) says.
-    ///
-    /// # Errors
-    /// What is wrong with it, and its place.
-    pub fn with_keys(mut self, text: &str) -> Result<Config, String> {
-        self.keys = Some(Keys::parse(text, &self.classes).map_err(|e| format!("keys: {e}"))?);
-        Ok(self)
-    }
-
     /// What a running proxy takes over from a new configuration. The rest is for its whole life; whether the two
     /// differ there comes back too.
     pub fn renewed(&self, new: Config) -> (Config, bool) {
         let Config { discovery, sockets, connect_timeout, conn_idle, .. } = new;
-        // Its bounds may change; whether there is one is for the whole life.
-        let on = new.keys.is_none() || self.keys.is_some();
-        let keys = if on { new.keys.or_else(|| self.keys.clone()) } else { None };
+        // What a station is told may change; which there are is for the whole life.
+        let (extras, more) = self.extras.renewed(new.extras);
         let old = (self.listen, &self.settings, &self.classes, &self.tenants);
-        let differs = !on || old != (new.listen, &new.settings, &new.classes, &new.tenants);
-        (Config { discovery, sockets, connect_timeout, conn_idle, keys, ..self.clone() }, differs)
+        let differs = more || old != (new.listen, &new.settings, &new.classes, &new.tenants);
+        (Config { discovery, sockets, connect_timeout, conn_idle, extras, ..self.clone() }, differs)
     }
 
     /// Most connections to hosts: clients hold a third of the descriptors at most for requests, and each request
--- a/engine/src/discovery.rs
+++ b/engine/src/discovery.rs
@@ -1,12 +1,12 @@
-//! The list of hosts: its form, and the watch that brings its changes.
+//! The watch that brings the changes of the list of hosts.
 
-use crate::http1::{dial, BoxError};
+use crate::dial::{dial, BoxError};
+use crate::list::List;
 use crate::task;
 use http_body_util::{BodyExt, Empty};
 use hyper::body::Bytes;
 use hyper::{header, Request, StatusCode};
 use hyper_util::rt::TokioIo;
-use serde::Deserialize;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::timeout;
@@ -16,51 +16,6 @@
 /// Longest line of a watch; a longer one is not a list of any fleet that one proxy serves.
 const LINE_MOST: usize = 4 << 20;
 
-/// The whole list of hosts, or the entries that changed.
-#[derive(Clone, Debug, Deserialize)]
-pub struct List {
-    /// Version of the list.
-    pub seq: u64,
-    /// Whether this is all of it.
-    pub whole: bool,
-    /// The entries.
-    pub hosts: Vec<Host>,
-}
-
-/// An entry of the list.
-#[derive(Clone, Debug, Deserialize)]
-pub struct Host {
-    /// Its name, the same for every proxy.
-    pub host: String,
-    /// Where it listens.
-    pub dial: SocketAddr,
-    /// Its zone.
-    #[serde(default)]
-    pub site: String,
-    /// The set of hosts that drop each other's repeats.
-    #[serde(default)]
-    pub block: u32,
-    /// What it does.
-    pub health: Health,
-    /// Its size beside the others'.
-    #[serde(default)]
-    pub share: f64,
-    /// When it last started, Unix time in milliseconds; 0: long ago.
-    #[serde(default)]
-    pub born_ms: u64,
-}
-
-/// What the list says of a host.
-#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
-pub enum Health {
-    /// It takes requests.
-    Ready,
-    /// It finishes what it has.
-    Terminating,
-    /// It has been removed.
-    Gone,
-}
-
 /// Watches the list from version `since` on and passes on what comes, until the watch ends. It returns why:
 /// the connection broke or ended, the answer was not 200, a line was bad, or nothing came for too long.
 pub async fn watch(discovery: SocketAddr, since: Option<u64>, mut news: impl FnMut(List)) -> BoxError {
--- /dev/null
+++ b/engine/src/driver/attempts.rs
@@ -0,0 +1,179 @@
+//! The module's actions on calls, and how attempts begin and end.
+
+use super::{Driver, Handle};
+use crate::calls::call::{ended, Attempt};
+use crate::calls::{Owner, Reply};
+use crate::meter::Meter;
+use crate::protocol::{End, Protocol, Target};
+use crate::station::Told;
+use crate::task;
+use nettleworks_policy::{Action, CallId, Event, Micros, Outcome, ServerId};
+use std::cell::Cell;
+use std::future::Future;
+use std::pin::pin;
+use std::time::Duration;
+use tokio::time::{timeout_at, Instant};
+
+impl<P: Protocol> Driver<P> {
+    pub(super) fn carry_out(&mut self, handle: &Handle<P>, action: Action) {
+        match action {
+            Action::Send { call, server, until } => self.send(handle, call, server, until),
+            Action::Refuse { call, retry_after } => {
+                self.answer(call, Reply::Refused(Duration::from_micros(retry_after)));
+            }
+            Action::Fail { call } => self.answer(call, Reply::Failed),
+            Action::Cancel { call, attempt } => self.cancel(call, attempt),
+            Action::Wake { after } => {
+                self.wake = Some(Instant::now() + Duration::from_micros(after));
+                self.desk.woken.notify_one();
+            }
+            Action::Subscribe => self.subscribe(handle),
+            Action::Log { text } => self.desk.log(&text),
+            // The module asks for none where the settings allow none, and this program has none to offer.
+            Action::Probe { .. } => {}
+        }
+    }
+
+    fn send(&mut self, handle: &Handle<P>, id: CallId, server: ServerId, until: Option<Micros>) {
+        let now = Instant::now();
+        let Some(call) = self.desk.calls.get(&id) else { return };
+        let attempt = call.attempts.len() as u32;
+        // Without an end of its own an attempt ends with its call, whose end may move.
+        let past_aim = call.past_aim && until.is_some();
+        let limit = call.limit.clone().filter(|_| until.is_none() || past_aim);
+        let until = until.map_or(call.deadline, |at| self.desk.clock.instant(at).min(call.deadline));
+        let to = self.hosts.ready(server).map(|address| Target { server, address });
+        let to = to.filter(|_| call.owner.is_some() && now < until);
+        let closed = call.owner.is_none();
+        let Some(to) = to.filter(|to| self.allowed(id, *to)) else {
+            if let Some(call) = self.desk.calls.get_mut(&id) {
+                call.attempts.push(None);
+            }
+            return self.desk.events.push_back(ended(id, attempt, Outcome::NotSent, Duration::ZERO, closed));
+        };
+        let Some(call) = self.desk.calls.get_mut(&id) else { return };
+        let meter = Meter::default();
+        let exchange = self.protocol.attempt(to, call.request.clone(), until, &meter);
+        let task = {
+            let (handle, meter) = (handle.clone(), meter.clone());
+            task::spawn(async move {
+                // It is over then, whatever the protocol does.
+                let end = match limit {
+                    None => timeout_at(until, exchange).await.ok(),
+                    Some(limit) if past_aim => {
+                        let mut exchange = pin!(exchange);
+                        match timeout_at(until, &mut exchange).await {
+                            Ok(end) => Some(end),
+                            Err(_) if handle.time_is_up(id) => until_moved(&limit, exchange).await,
+                            Err(_) => None,
+                        }
+                    }
+                    Some(limit) => until_moved(&limit, exchange).await,
+                };
+                let end = end.unwrap_or_else(|| match meter.bytes() {
+                    0 => End::without_answer(Outcome::NoConnection),
+                    _ => End::without_answer(Outcome::TimedOut),
+                });
+                handle.finish(id, attempt, end);
+            })
+        };
+        self.counts.attempts += 1;
+        call.attempts.push(Some(Attempt { server, address: to.address, sent: now, meter, _task: task }));
+    }
+
+    /// Whether the stations let an attempt go.
+    fn allowed(&mut self, call: CallId, to: Target) -> bool {
+        (0..self.stations.len()).all(|at| {
+            self.desk.at = at;
+            self.stations[at].attempt(&mut self.desk, call, to)
+        })
+    }
+
+    /// Calls an attempt off: its connection closes.
+    fn cancel(&mut self, id: CallId, attempt: u32) {
+        let Some(call) = self.desk.calls.get_mut(&id) else { return };
+        let Some(out) = call.attempts.get_mut(attempt as usize).and_then(Option::take) else { return };
+        let closed = call.owner.is_none();
+        call.may_have_run |= out.meter.bytes() > 0;
+        self.desk.events.push_back(ended(id, attempt, Outcome::CalledOff, out.sent.elapsed(), closed));
+        self.desk.tidy(id);
+    }
+
+    fn answer(&mut self, id: CallId, reply: Reply<P::Answer>) {
+        if let Some(call) = self.desk.calls.get_mut(&id) {
+            let may_have_run = call.may_have_run();
+            if let Some(owner) = call.owner.take() {
+                self.desk.tell(id, owner, reply, may_have_run);
+            }
+        }
+        self.desk.tidy(id);
+    }
+}
+
+impl<P: Protocol> Handle<P> {
+    /// The time of all who wait for a call is up, as the module has set it. Whether the call goes on without them.
+    fn time_is_up(&self, id: CallId) -> bool {
+        let mut driver = self.0.borrow_mut();
+        let Some(call) = driver.desk.calls.get(&id) else { return false };
+        let Some(&Owner::Station(at)) = call.owner.as_ref() else { return false };
+        if call.out().any(|out| !out.meter.is_whole()) {
+            return false;
+        }
+        driver.desk.at = at;
+        let Driver { desk, stations, .. } = &mut *driver;
+        stations[at].time_is_up(desk, id);
+        let goes_on = desk.calls.get(&id).is_some_and(|call| call.lingers);
+        drop(driver);
+        self.run([]);
+        goes_on
+    }
+
+    pub(super) fn finish(&self, id: CallId, attempt: u32, mut end: End<P::Answer>) {
+        let mut driver = self.0.borrow_mut();
+        let desk = &mut driver.desk;
+        let Some(call) = desk.calls.get_mut(&id) else { return };
+        let Some(out) = call.attempts.get_mut(attempt as usize).and_then(Option::take) else { return };
+        call.may_have_run |= !end.outcome.never_ran();
+        let answer = end.answer.take();
+        let owner = answer.as_ref().and_then(|_| call.owner.take());
+        let (elapsed, closed) = (out.sent.elapsed().as_micros() as Micros, call.owner.is_none());
+        let (outcome, load, lingers) = (end.outcome, end.load, call.lingers);
+        desk.events.push_back(Event::Outcome { call: id, attempt, outcome, elapsed, closed, load });
+        match (owner, answer) {
+            (Some(owner), Some(answer)) => desk.tell(id, owner, Reply::Served(answer), true),
+            (None, Some(answer)) => {
+                if let Some(at) = call.late.take() {
+                    desk.told.push_back((at, id, Told::Late(Some(answer))));
+                }
+            }
+            _ => {}
+        }
+        if lingers {
+            desk.spent(id);
+        }
+        desk.tidy(id);
+        let Driver { desk, stations, .. } = &mut *driver;
+        for (at, station) in (0..).zip(stations) {
+            desk.at = at;
+            station.outcome(desk, id, out.server, outcome);
+        }
+        drop(driver);
+        self.run([]);
+        // Dropped last: this may be the very task of the attempt.
+        drop(out);
+    }
+}
+
+/// What a future gives by a moment that may move on meanwhile.
+async fn until_moved<T>(limit: &Cell<Instant>, future: impl Future<Output = T>) -> Option<T> {
+    let mut future = pin!(future);
+    loop {
+        let until = limit.get();
+        if let Ok(done) = timeout_at(until, &mut future).await {
+            return Some(done);
+        }
+        if limit.get() <= until {
+            return None;
+        }
+    }
+}
--- a/engine/src/http1/exchange.rs
+++ b/engine/src/http1/exchange.rs
@@ -1,6 +1,8 @@
 //! Connections to hosts, and one exchange on one of them.
 
-use crate::protocol::{End, Meter};
+use crate::dial::{dial, BoxError};
+use crate::meter::Meter;
+use crate::protocol::End;
 use crate::socket::Socket;
 use crate::task::{spawn, Task};
 use http::response::Parts;
@@ -18,7 +20,6 @@
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
-use tokio::net::TcpStream;
 use tokio::task::yield_now;
 use tokio::time::{timeout, Instant};
 
@@ -37,16 +38,6 @@
 /// A kept connection that breaks within this time of being written to was closed before the request came.
 const CROSSING: Duration = Duration::from_millis(20);
 
-/// Any failure, in words.
-pub type BoxError = Box<dyn Error + Send + Sync>;
-
-/// Opens a TCP connection without Nagle's delay.
-pub async fn dial(address: SocketAddr) -> io::Result<TcpStream> {
-    let stream = TcpStream::connect(address).await?;
-    stream.set_nodelay(true)?;
-    Ok(stream)
-}
-
 /// A request's body on its way: it notes when all of it has been taken to be written.
 #[derive(Debug)]
 pub struct Outgoing {
@@ -291,7 +282,7 @@
     use super::*;
     use std::future::Future;
     use tokio::io::AsyncReadExt;
-    use tokio::net::TcpListener;
+    use tokio::net::{TcpListener, TcpStream};
     use tokio::task::LocalSet;
 
     fn run<T>(test: impl Future<Output = T>) -> T {
--- a/engine/src/http1/mod.rs
+++ b/engine/src/http1/mod.rs
@@ -2,10 +2,12 @@
 
 mod exchange;
 
-pub use exchange::{dial, BoxError, BODY_MOST, HEAD_MOST};
+pub use crate::dial::BoxError;
+pub use exchange::{BODY_MOST, HEAD_MOST};
 
 use crate::config::Config;
-use crate::protocol::{Connections, End, Meter, Protocol, Target};
+use crate::meter::Meter;
+use crate::protocol::{Connections, End, Protocol, Target};
 use exchange::{exchange, Connection, Outgoing};
 use hyper::body::Bytes;
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
--- a/engine/src/lib.rs
+++ b/engine/src/lib.rs
@@ -1,26 +1,33 @@
 //! The engine drives the decision module on real sockets: one thread, one owner, events in and actions out at
 //! once. Fronts bring it calls; it brings them their one answer.
 //!
-//! - [`driver`]: events into the module, actions out of it; [`calls`] what is open.
-//! - [`protocol`]: the seam to what hosts speak; [`http1`] is HTTP/1.1 behind it.
-//! - [`discovery`]: the list of hosts; [`config`] what the engine is told; [`state`] what it shows.
+//! Its modules in their order; each uses only those before it (`tests/tree.rs`):
+//!
+//! - [`task`], [`meter`], `clock`, `dial`: tasks that end with their owner, what was written, time, connections.
+//! - [`list`], [`extras`], [`config`]: the list of hosts' form, what stations are told, what the engine is told.
+//! - [`protocol`]: the seam to what hosts speak; [`state`] what the engine shows.
+//! - [`calls`], [`station`]: calls on their way, and the subsystems that they pass.
+//! - [`socket`], [`http1`], [`discovery`]: HTTP/1.1 behind the seam, and the watch of the list.
+//! - [`driver`]: events into the module, actions out of it; order, time and the calls.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
 pub mod calls;
+mod clock;
 pub mod config;
+mod dial;
 pub mod discovery;
 pub mod driver;
+pub mod extras;
 pub mod http1;
-pub mod keyed;
+pub mod list;
+pub mod meter;
 pub mod protocol;
 pub mod socket;
 pub mod state;
+pub mod station;
 pub mod task;
 
-pub use nettleworks_keys as keys;
-pub use nettleworks_keys::{Counts as KeyCounts, KeyState, Kind, Known};
-
 use std::io::{self, Write};
 use std::rc::Rc;
 
--- /dev/null
+++ b/engine/src/meter.rs
@@ -0,0 +1,60 @@
+//! What was written for one attempt: the proof that rules 1 and 2 rest on.
+
+use std::cell::Cell;
+use std::rc::Rc;
+
+/// What was written for one attempt. No byte means that no host can have seen it, which is what rule 2 (no effect
+/// twice) rests on: a protocol counts here *every* byte of an attempt that it gives to the system. An attempt that is
+/// whole needs nothing more to be sent for it, whoever waits for it or not, which is what rule 1 rests on when its
+/// client has gone.
+#[derive(Clone, Debug, Default)]
+pub struct Meter(Rc<Written>);
+
+#[derive(Debug, Default)]
+struct Written {
+    bytes: Cell<usize>,
+    /// All of the request has been made into bytes.
+    made: Cell<bool>,
+    whole: Cell<bool>,
+    revoked: Cell<bool>,
+}
+
+impl Meter {
+    /// How many bytes were written.
+    pub fn bytes(&self) -> usize {
+        self.0.bytes.get()
+    }
+
+    /// So many more were written.
+    pub fn add(&self, count: usize) {
+        self.0.bytes.set(self.0.bytes.get() + count);
+    }
+
+    /// Whether all of the request has been made into bytes: what is flushed next is its end.
+    pub fn made(&self, all: bool) {
+        self.0.made.set(all);
+    }
+
+    /// All bytes that were made so far are written.
+    pub fn flushed(&self) {
+        if self.0.made.get() && self.bytes() > 0 {
+            self.0.whole.set(true);
+        }
+    }
+
+    /// Nothing more may be written for the attempt. Its task may be told to end and be polled only later, and what it
+    /// has handed to its connection is written by another.
+    pub fn revoke(&self) {
+        self.0.revoked.set(true);
+    }
+
+    /// Whether nothing more may be written.
+    pub fn is_revoked(&self) -> bool {
+        self.0.revoked.get()
+    }
+
+    /// Whether all of it is written.
+    pub fn is_whole(&self) -> bool {
+        self.0.whole.get()
+    }
+}
--- a/engine/src/socket.rs
+++ b/engine/src/socket.rs
@@ -1,7 +1,7 @@
 //! A TCP stream that hyper's task and the connection's owner share. The owner can close it at once, whatever that
 //! task does, can look at what has come and was not read, and knows what was written and read.
 
-use crate::protocol::Meter;
+use crate::meter::Meter;
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
--- a/engine/src/state.rs
+++ b/engine/src/state.rs
@@ -1,11 +1,12 @@
 //! What the engine shows of itself, as of one moment.
 
-use crate::discovery::Health;
+use crate::list::Health;
 use crate::protocol::Connections;
-use nettleworks_keys::Counts;
 use nettleworks_policy::Outcome;
+use std::any::Any;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 /// A host of the list.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -21,7 +22,7 @@
 }
 
 /// The engine at one moment.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default)]
 pub struct State {
     /// Whether a list of hosts is in hand.
     pub ready: bool,
@@ -41,8 +42,24 @@
     pub requests: u64,
     /// Attempts sent so far.
     pub attempts: u64,
-    /// What the store of keys has done so far, where there is one, and how many keys and bytes of answers it holds.
-    pub keys: Option<(Counts, usize, usize)>,
     /// How attempts have ended so far.
     pub outcomes: BTreeMap<Outcome, u64>,
+    /// What stations show of themselves, by name.
+    pub stations: Vec<(&'static str, Rc<dyn Any>)>,
+}
+
+impl State {
+    /// What the station shows that has this type.
+    pub fn of<T: 'static>(&self) -> Option<&T> {
+        self.stations.iter().find_map(|(_, state)| state.downcast_ref())
+    }
+}
+
+/// Whoever looks at the state. It costs the engine a walk over what is open each time.
+pub trait Observer {
+    /// Whether it looks at all.
+    fn looks(&self) -> bool;
+
+    /// The state is this now.
+    fn show(&self, state: State);
 }
--- a/keys/src/inspect.rs
+++ b/keys/src/inspect.rs
@@ -101,7 +101,7 @@
     fn view_at(&self, now: Micros, place: usize) -> Option<View> {
         let entry = self.entries.get(place)?.as_ref().filter(|_| !self.has_ended(now, place))?;
         let (waiters, answer_bytes) = match &entry.state {
-            State::Running(waiters) => (waiters.len(), 0),
+            State::Running { waiters, .. } => (waiters.len(), 0),
             State::Answered { answer: Some((_, bytes)), .. } => (0, *bytes),
             _ => (0, 0),
         };
--- a/keys/src/store.rs
+++ b/keys/src/store.rs
@@ -282,7 +282,11 @@
 #[derive(Debug)]
 pub(crate) enum State<A> {
     /// Those who wait, in the order in which they came, with their deadlines.
-    Running(Vec<(WaiterId, Micros)>),
+    Running {
+        /// Whose request it is that runs; it may have gone.
+        runs: WaiterId,
+        waiters: Vec<(WaiterId, Micros)>,
+    },
     /// `None`: a marker, its answer was given up.
     Answered {
         until: Micros,
@@ -313,7 +317,7 @@
     /// What it is at.
     pub(crate) fn at(&self) -> KeyState {
         match self.state {
-            State::Running(_) => KeyState::Running,
+            State::Running { .. } => KeyState::Running,
             State::Answered { answer: Some(_), .. } => KeyState::Answered,
             State::Answered { answer: None, .. } => KeyState::Forgotten,
             State::Unsure { .. } => KeyState::Unsure,
@@ -477,7 +481,7 @@
         });
         self.places.insert(key.clone(), place);
         self.waiting.insert((deadline, waiter, place));
-        let state = State::Running(vec![(waiter, deadline)]);
+        let state = State::Running { runs: waiter, waiters: vec![(waiter, deadline)] };
         let (kind, digest) = (request.kind, request.digest);
         self.entries[place] = Some(Entry { key, serial, kind, digest, came: now, state });
         Arrival::First(Slot { place, serial })
@@ -500,11 +504,11 @@
             return Arrival::Mismatch;
         }
         match &mut entry.state {
-            State::Running(waiters) if waiters.len() >= self.bounds.waiters => {
+            State::Running { waiters, .. } if waiters.len() >= self.bounds.waiters => {
                 self.counts.refused[Cause::Waiters as usize] += 1;
                 Arrival::Refused(Cause::Waiters)
             }
-            State::Running(waiters) => {
+            State::Running { waiters, .. } => {
                 let longest = waiters.iter().all(|&(_, other)| other < deadline);
                 waiters.push((waiter, deadline));
                 self.waiting.insert((deadline, waiter, place));
@@ -536,6 +540,14 @@
         Some(Known { state: entry.at(), age: now.saturating_sub(entry.came) })
     }
 
+    /// Whose request it is that runs as a slot's call: the first's, who may have gone. `None`: none runs.
+    pub fn runner(&self, slot: Slot) -> Option<WaiterId> {
+        match self.entries.get(slot.place)?.as_ref()? {
+            Entry { serial, state: State::Running { runs, .. }, .. } if *serial == slot.serial => Some(*runs),
+            _ => None,
+        }
+    }
+
     /// Those who wait for a running call, in the order in which they came.
     pub fn waiters(&mut self, slot: Slot) -> Vec<WaiterId> {
         self.running(slot).map(|waiters| waiters.iter().map(|&(id, _)| id).collect()).unwrap_or_default()
@@ -593,7 +605,7 @@
         }
         let at = entry.at();
         let waiters = match &mut entry.state {
-            State::Running(waiters) => std::mem::take(waiters),
+            State::Running { waiters, .. } => std::mem::take(waiters),
             State::Unsure { .. } | State::Settled { .. } if matches!(end, End::Served { .. }) => {
                 self.unlist(slot.place);
                 self.counts.late += 1;
@@ -609,7 +621,8 @@
                 let (first, deadline) = waiters[0];
                 ended = Ended { waiters: vec![first], next: Some(waiters[1].0), late: None };
                 self.waiting.remove(&(deadline, first, slot.place));
-                self.set(slot.place, State::Running(waiters[1..].to_vec()));
+                let waiters = waiters[1..].to_vec();
+                self.set(slot.place, State::Running { runs: waiters[0].0, waiters });
                 self.counts.firsts += 1;
                 return ended;
             }
@@ -644,7 +657,9 @@
 
     fn running(&mut self, slot: Slot) -> Option<&mut Vec<(WaiterId, Micros)>> {
         match self.entries.get_mut(slot.place)?.as_mut()? {
-            Entry { serial, state: State::Running(waiters), .. } if *serial == slot.serial => Some(waiters),
+            Entry { serial, state: State::Running { waiters, .. }, .. } if *serial == slot.serial => {
+                Some(waiters)
+            }
             _ => None,
         }
     }
@@ -657,7 +672,7 @@
 
     pub(crate) fn until(&self, place: usize) -> Option<Micros> {
         match self.entries[place].as_ref()?.state {
-            State::Running(_) => None,
+            State::Running { .. } => None,
             State::Answered { until, .. } | State::Unsure { until } | State::Settled { until, .. } => {
                 Some(until)
             }
@@ -680,7 +695,9 @@
             | (State::Unsure { .. } | State::Settled { .. }, Kind::Keyed)
             | (State::Settled { verdict: Verdict::NeverRan, .. }, _) => spare.rest.insert((until, place)),
             // It ran or may have, and its client knows nothing of it: a second run is harm for good.
-            (State::Unsure { .. } | State::Settled { .. }, Kind::Unsafe) | (State::Running(_), _) => false,
+            (State::Unsure { .. } | State::Settled { .. }, Kind::Unsafe) | (State::Running { .. }, _) => {
+                false
+            }
         };
         of(&mut tenant.spare);
         of(&mut self.spare);
--- a/library/src/builder.rs
+++ b/library/src/builder.rs
@@ -4,6 +4,7 @@
 use crate::error::StartError;
 use crate::fleet::Fleet;
 use nettleworks_engine::config::Config;
+use nettleworks_keys_station::WithKeys;
 use serde_json::{json, Value};
 use std::net::SocketAddr;
 use std::path::Path;
--- a/library/src/error.rs
+++ b/library/src/error.rs
@@ -2,7 +2,8 @@
 
 use http::StatusCode;
 use nettleworks::requests::{self, Answer};
-use nettleworks_engine::{KeyState, Known};
+use nettleworks_engine::calls::Doubt;
+use nettleworks_keys::KeyState;
 use std::fmt;
 use std::io;
 use std::time::Duration;
@@ -53,10 +54,7 @@
         match self {
             Error::Refused { retry_after } => requests::refused(retry_after),
             Error::Failed => requests::plain(StatusCode::BAD_GATEWAY),
-            Error::Unsure { state, age } => {
-                let age = u64::try_from(age.as_micros()).unwrap_or(u64::MAX);
-                requests::unsure(Known { state, age })
-            }
+            Error::Unsure { state, age } => requests::unsure(Doubt { at: state.name(), age }),
             Error::Unusable(status) => requests::unusable(status),
             // It never ran, as with any refusal; another process may serve it.
             Error::Closed => requests::refused(Duration::from_secs(1)),
--- a/library/src/fleet.rs
+++ b/library/src/fleet.rs
@@ -3,6 +3,7 @@
 use crate::builder::Builder;
 use crate::context::CallContext;
 use crate::error::{Error, StartError, Unfinished};
+use crate::state::State;
 use crate::thread::{self, Command, Ended, Ticket};
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Request, Response};
@@ -10,7 +11,8 @@
 use nettleworks_engine::calls::{Ask, Caller, Reply};
 use nettleworks_engine::config::Config;
 use nettleworks_engine::http1::{Forward, BODY_MOST};
-use nettleworks_engine::state::State;
+use nettleworks_keys::KeyState;
+use nettleworks_keys_station::WithKeys;
 use std::fmt;
 use std::future::Future;
 use std::io;
@@ -318,8 +320,9 @@
             Ok(Reply::Served(answer)) => Ok(requests::served(answer)),
             Ok(Reply::Refused(retry_after)) => Err(Error::Refused { retry_after }),
             Ok(Reply::Failed) => Err(Error::Failed),
-            Ok(Reply::Unsure(known)) => {
-                Err(Error::Unsure { state: known.state, age: Duration::from_micros(known.age) })
+            Ok(Reply::Unsure(doubt)) => {
+                let state = KeyState::named(doubt.at).unwrap_or(KeyState::Unsure);
+                Err(Error::Unsure { state, age: doubt.age })
             }
             Ok(Reply::IdOpen) => Err(Error::Unusable(http::StatusCode::CONFLICT)),
             Ok(Reply::KeyTaken) => Err(Error::Unusable(http::StatusCode::UNPROCESSABLE_ENTITY)),
--- a/library/src/thread.rs
+++ b/library/src/thread.rs
@@ -1,6 +1,7 @@
 //! The engine's thread: takes commands in, in their order, and ends when all is answered.
 
 use crate::error::{StartError, Unfinished};
+use crate::state::{Shown, State};
 use bytes::Bytes;
 use http::HeaderValue;
 use http::Response;
@@ -9,7 +10,6 @@
 use nettleworks_engine::config::Config;
 use nettleworks_engine::driver::Handle;
 use nettleworks_engine::http1::{Forward, Http1};
-use nettleworks_engine::state::State;
 use nettleworks_policy::CallId;
 use std::io;
 use std::net::TcpListener;
@@ -72,10 +72,13 @@
         let local = LocalSet::new();
         let how = local.block_on(&runtime, async {
             let config = Rc::new(config);
-            let driver =
-                Handle::start(config.clone(), Http1::new(&config), Rc::new(move |line: &str| log(line)));
+            let stations = nettleworks::stations(&config);
+            let log = Rc::new(move |line: &str| log(line));
+            let driver = Handle::start(config.clone(), Http1::new(&config), stations, log);
+            let (shown, state) = watch::channel(State::default());
+            driver.observe(Shown(shown));
             // Whoever starts it waits for this, and is there.
-            let _ = up.send(Ok(driver.watch()));
+            let _ = up.send(Ok(state));
             let _operators = nettleworks::operators::start(&driver);
             run(driver, queue).await
         });
--- a/measure/src/roles.rs
+++ b/measure/src/roles.rs
@@ -11,6 +11,7 @@
 use hyper_util::rt::TokioExecutor;
 use nettleworks_client::{CallContext, Fleet};
 use nettleworks_engine::config::Config;
+use nettleworks_keys_station::WithKeys;
 use std::io::Read;
 use std::net::SocketAddr;
 use std::process::ExitCode;
--- a/proxy/src/lib.rs
+++ b/proxy/src/lib.rs
@@ -10,13 +10,20 @@
 pub use nettleworks_engine::config;
 
 use nettleworks_engine::config::Config;
-use nettleworks_engine::driver::Handle;
+use nettleworks_engine::driver::{Handle, Stations};
 use nettleworks_engine::http1::Http1;
 use nettleworks_engine::Log;
+use nettleworks_keys_station::KeyStation;
 use std::future::Future;
 use std::rc::Rc;
 use tokio::net::TcpListener;
 
+/// The stations that a configuration asks for, in their order on a call's way.
+pub fn stations(config: &Config) -> Stations<Http1> {
+    let keys = KeyStation::new(config).map(|keys| Box::new(keys) as _);
+    keys.into_iter().collect()
+}
+
 /// Serves until `stop` is done and all that was taken is answered. `reload` gives the next configuration each
 /// time there is one, and `None` when none will come. Runs inside a [`tokio::task::LocalSet`].
 pub async fn run(
@@ -27,7 +34,7 @@
     stop: impl Future<Output = ()>,
 ) {
     let config = Rc::new(config);
-    let driver = Handle::start(config.clone(), Http1::new(&config), log);
+    let driver = Handle::start(config.clone(), Http1::new(&config), stations(&config), log);
     let _operators = operators::start(&driver);
     let reloads = async {
         while let Some(config) = reload().await {
--- a/proxy/src/main.rs
+++ b/proxy/src/main.rs
@@ -8,6 +8,7 @@
 use clap::Parser;
 use nettleworks::config::Config;
 use nettleworks::server;
+use nettleworks_keys_station::WithKeys;
 use std::io::Write;
 use std::path::PathBuf;
 use std::process::ExitCode;
--- a/proxy/src/operators.rs
+++ b/proxy/src/operators.rs
@@ -10,8 +10,9 @@
 use nettleworks_engine::config::Config;
 use nettleworks_engine::driver::Handle;
 use nettleworks_engine::http1::Http1;
-use nettleworks_engine::keys::{Filter, KeyState, Slot, Verdict, View};
 use nettleworks_engine::task::{self, Task};
+use nettleworks_keys::{Filter, KeyState, Slot, Verdict, View};
+use nettleworks_keys_station::{Operate, WithKeys};
 use serde::Deserialize;
 use serde_json::{json, Value};
 use std::fs::{self, DirBuilder, Permissions};
@@ -64,7 +65,7 @@
 /// Serves on the socket that the configuration of keys names for as long as what comes back is kept; nothing where it
 /// names none. What stands in the way of it is said in the log, and is no reason not to serve clients.
 pub fn start(driver: &Handle<Http1>) -> Option<Task> {
-    let path = driver.config().keys.as_ref()?.socket.clone()?;
+    let path = driver.config().keys()?.socket.clone()?;
     match bind(&path) {
         Ok(listener) => {
             driver.log(&format!("keys: operators at {}", path.display()));
@@ -203,8 +204,8 @@
             if why.trim().is_empty() || why.len() > WHY_MOST {
                 return Err(format!("a reason is needed, of {WHY_MOST} bytes at most"));
             }
-            let settled =
-                driver.keys_settle(slot(&id)?, verdict, who, &why).map_err(|error| error.to_string())?;
+            let settled = driver.keys_settle(slot(&id)?, verdict, who, &why);
+            let settled = settled.ok_or("there is no store of keys")?.map_err(|error| error.to_string())?;
             let mut before = shown(&config, &settled.before);
             before["settled_as"] = verdict.state().name().into();
             before["left_ms"] = (settled.until / 1_000).into();
--- a/proxy/src/requests.rs
+++ b/proxy/src/requests.rs
@@ -5,13 +5,13 @@
 use hyper::body::{Body, Buf, Bytes, Incoming};
 use hyper::header::{self, HeaderMap, HeaderValue};
 use hyper::{Method, Request, Response, StatusCode, Uri};
-use nettleworks_engine::calls::{Ask, AskKey, Reply};
+use nettleworks_engine::calls::{Ask, Doubt, Reply};
 use nettleworks_engine::config::Config;
 use nettleworks_engine::driver::Handle;
 use nettleworks_engine::http1::{BoxError, Forward, Http1, BODY_MOST};
-use nettleworks_engine::keyed::Keys;
 use nettleworks_engine::socket::Socket;
-use nettleworks_engine::{KeyState, Kind, Known};
+use nettleworks_keys::KeyState;
+use nettleworks_keys_station::{Keys, WithKeys};
 use nettleworks_policy::{ClassId, Repeat, TenantId};
 use std::pin::pin;
 use std::time::Duration;
@@ -115,8 +115,9 @@
     let target = head.uri.path_and_query().cloned().map(Uri::from).unwrap_or_default();
     let mut headers = end_to_end(head.headers);
     let goes_on = |keys: &Keys| keys.forward.get(ask.class.0).copied().unwrap_or_default();
-    let held = ask.key.as_ref().is_some_and(|key| key.kind == Kind::Unsafe);
-    if held && !config.keys.as_ref().is_some_and(goes_on) {
+    let class = config.settings.classes.get(ask.class.0);
+    let held = ask.key.is_some() && class.is_some_and(|class| class.repeat == Repeat::SingleShot);
+    if held && !config.keys().is_some_and(goes_on) {
         headers.remove("idempotency-key");
     }
     Forward { method: head.method, target, headers, body }
@@ -174,7 +175,7 @@
             method == Method::POST
         }
         // Hosts know nothing of its key; the store of keys does, where there is one.
-        Repeat::SingleShot if keyed && config.keys.is_some() => {
+        Repeat::SingleShot if keyed && config.keys().is_some() => {
             single(headers, "idempotency-key").filter(|key| !key.is_empty())?;
             method == Method::POST
         }
@@ -186,9 +187,8 @@
     let budget = Duration::from_millis(budget.into()).min(Duration::from_micros(spec.deadline));
     let tenant = single(headers, "x-caller").and_then(|name| place(&config.tenants, name)).map(TenantId);
     let resent = single(headers, "x-again").is_some_and(|value| value == "1");
-    let kind = if spec.repeat == Repeat::SingleShot { Kind::Unsafe } else { Kind::Keyed };
-    let key = headers.get("idempotency-key").filter(|_| config.keys.is_some());
-    let key = key.map(|key| AskKey { kind, key: Bytes::copy_from_slice(key.as_bytes()) });
+    let key = headers.get("idempotency-key").filter(|_| config.keys().is_some());
+    let key = key.map(|key| Bytes::copy_from_slice(key.as_bytes()));
     let ask = Ask { id, class: ClassId(class), tenant, deadline: Instant::now(), resent, key };
     fits.then_some((ask, budget))
 }
@@ -208,7 +208,7 @@
         Reply::Served(answer) => served(answer).map(Full::new),
         Reply::Refused(after) => refused(after),
         Reply::Failed => plain(StatusCode::BAD_GATEWAY),
-        Reply::Unsure(known) => unsure(known),
+        Reply::Unsure(doubt) => unsure(doubt),
         Reply::IdOpen => unusable(StatusCode::CONFLICT),
         Reply::KeyTaken => plain(StatusCode::UNPROCESSABLE_ENTITY),
         Reply::BadKey => plain(StatusCode::BAD_REQUEST),
@@ -247,8 +247,8 @@
 /// The answer for a key whose request ran or may have, where there is no answer to pass on: 502 with problem details
 /// (RFC 9457), so that an application can tell it from a bad gateway. `type` and the values of `key_state` do not
 /// change; `key_age_ms` counts from the key's first request.
-pub fn unsure(known: Known) -> Answer {
-    let (name, title) = match known.state {
+pub fn unsure(doubt: Doubt) -> Answer {
+    let (name, title) = match KeyState::named(doubt.at).unwrap_or(KeyState::Unsure) {
         KeyState::Running => ("key-running", "The request is still running."),
         KeyState::Answered | KeyState::Forgotten | KeyState::Ran => {
             ("key-ran", "The request has run, and its answer is not known here.")
@@ -259,8 +259,8 @@
         "type": format!("urn:nettleworks:problem:{name}"),
         "title": title,
         "status": StatusCode::BAD_GATEWAY.as_u16(),
-        "key_state": known.state.name(),
-        "key_age_ms": known.age / 1_000,
+        "key_state": doubt.at,
+        "key_age_ms": u64::try_from(doubt.age.as_millis()).unwrap_or(u64::MAX),
     });
     let mut answer = plain(StatusCode::BAD_GATEWAY);
     answer.headers_mut().insert(header::CONTENT_TYPE, HeaderValue::from_static("application/problem+json"));
--- a/standins/src/demo.rs
+++ b/standins/src/demo.rs
@@ -56,7 +56,7 @@
     let config = Rc::new(Config::parse(&text).map_err(io::Error::other)?);
     let listener = nettleworks::server::listen(config.listen)?;
     let address = listener.local_addr()?;
-    let driver = Handle::start(config.clone(), Http1::new(&config), Rc::new(|_| ()));
+    let driver = Handle::start(config.clone(), Http1::new(&config), Vec::new(), Rc::new(|_| ()));
     let (stop, stopped) = oneshot::channel::<()>();
     let serving = spawn_local(nettleworks::server::serve(listener, driver.clone(), async {
         let _ = stopped.await;
--- a/standins/src/proxy.rs
+++ b/standins/src/proxy.rs
@@ -6,6 +6,7 @@
 use crate::host::Host;
 use crate::message::Reader;
 use nettleworks::config::Config;
+use nettleworks_keys_station::WithKeys;
 use std::future::Future;
 use std::marker::PhantomData;
 use std::net::SocketAddr;
