--- /dev/null
+++ b/shards/src/owner.rs
@@ -0,0 +1,50 @@
+//! Which shard a key belongs to: rendezvous hashing (Thaler and Ravishankar, 1998) under a seed, so that nobody who does
+//! not know it can send all keys to one shard, and a shard more or less moves no key between two others.
+
+use siphasher::sip::SipHasher13;
+use std::hash::Hasher;
+
+/// The shard, below `shards`, to which a key of a tenant and class belongs; 0 without any.
+pub fn owner(seed: u64, shards: usize, tenant: Option<u32>, class: u32, key: &[u8]) -> usize {
+    let weight = |shard: usize| {
+        let mut hasher = SipHasher13::new_with_keys(seed, shard as u64);
+        hasher.write_u64(tenant.map_or(u64::MAX, u64::from));
+        hasher.write_u32(class);
+        hasher.write(key);
+        hasher.finish()
+    };
+    (0..shards).max_by_key(|&shard| (weight(shard), shard)).unwrap_or(0)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn owners(shards: usize) -> Vec<usize> {
+        (0..20_000_u32).map(|n| owner(7, shards, Some(n % 3), n % 2, &n.to_be_bytes())).collect()
+    }
+
+    #[test]
+    fn keys_are_spread_evenly_and_a_shard_more_takes_only_its_part() {
+        for shards in 1..9 {
+            let (before, after) = (owners(shards), owners(shards + 1));
+            for shard in 0..shards {
+                let part = before.iter().filter(|&&own| own == shard).count();
+                let even = before.len() / shards;
+                assert!(part.abs_diff(even) * 20 <= even, "{part} of {even}");
+            }
+            let moved = before.iter().zip(&after).filter(|(a, b)| a != b).count();
+            let fair = before.len() / (shards + 1);
+            assert!(moved * 20 <= fair * 21, "{moved} moved of {fair}");
+            assert!(before.iter().zip(&after).all(|(a, b)| a == b || *b == shards), "between two others");
+        }
+    }
+
+    #[test]
+    fn a_tenant_and_a_class_are_part_of_a_key() {
+        let of = |tenant, class| (0..64_u8).map(|n| owner(1, 4, tenant, class, &[n])).collect::<Vec<_>>();
+        assert_ne!(of(None, 0), of(Some(0), 0));
+        assert_ne!(of(None, 0), of(None, 1));
+        assert_eq!(owner(1, 0, None, 0, b"k"), 0);
+    }
+}
