Measure what a request costs without a station on its way

Need: a station that is off must cost the ordinary path nothing, and nothing noticed if it did. Change: measure -- engine counts instructions a request by callgrind, beside the figure from before there were stations.

--- a/measure/src/main.rs
+++ b/measure/src/main.rs
@@ -2,6 +2,7 @@
 //! line of standard output is one JSON object with targets, and the exit status is 1 if one is missed.
 #![forbid(unsafe_code)]
 
+mod engine;
 mod instructions;
 mod keys;
 mod library;
@@ -14,6 +15,7 @@
 
 const USAGE: &str = "\
 usage: measure NAME [--full]
+  engine     instructions a request without a station on its way, by those before there were stations
   keys       the store of idempotency keys: look-up time, bytes a key, CPU a request with it and without; a storm of
              repeats with lingering and without, and how long those that join wait
   library    the library beside the daemon and a plain client: CPU for each request, times";
@@ -24,6 +26,7 @@
     let full = words.contains(&"--full");
     let report = match words[..] {
         ["library"] | ["library", "--full"] => library::measure(full),
+        ["engine"] | ["engine", "--full"] => engine::measure(full),
         ["keys"] | ["keys", "--full"] => keys::measure(full),
         // What a measurement starts of itself, as processes of their own.
         ["role", name, argument] => return roles::run(name, argument),
