Give up what a station behind keeps back, and never wait for a busy operators' socket

Cause, found on reading the change again: a station that gave up a request which another behind it kept back, and had not sent, was told that it never ran while the other could still send it; and one whose end was already on its way got the same word. The look whether an operators' socket is taken could block where its owner was too busy to accept.

Change: Desk::give_up tells those behind, and says None where the call has ended and its end comes; the look does not block.

--- a/engine/src/driver/mod.rs
+++ b/engine/src/driver/mod.rs
@@ -352,8 +352,7 @@
                 match told {
                     Told::Ended(ended) => self.stations[at].ended(&mut self.desk, call, ended),
                     Told::Late(answer) => self.stations[at].late(&mut self.desk, call, answer),
-                    // It may have answered meanwhile.
-                    Told::Gone => drop(self.stations[at].gone(&mut self.desk, call)),
+                    Told::Gone => drop(self.gone_at(at, call)),
                 }
             } else if let Some((at, guest)) = self.desk.entering.pop_front() {
                 self.enter(at, guest);
@@ -375,11 +374,8 @@
 
     /// A client has gone. `false`: there was none.
     fn gone(&mut self, id: CallId) -> bool {
-        for at in 0..self.stations.len() {
-            self.desk.at = at;
-            if self.stations[at].gone(&mut self.desk, id) {
-                return true;
-            }
+        if self.gone_at(0, id) {
+            return true;
         }
         let plain = |owner: &mut Owner<P::Answer>| matches!(owner, Owner::Caller(_));
         if self.desk.calls.get_mut(&id).and_then(|call| call.owner.take_if(plain)).is_none() {
@@ -390,6 +386,14 @@
         true
     }
 
+    /// The same for the stations from this one on. It may have answered meanwhile.
+    fn gone_at(&mut self, from: usize, id: CallId) -> bool {
+        (from..self.stations.len()).any(|at| {
+            self.desk.at = at;
+            self.stations[at].gone(&mut self.desk, id)
+        })
+    }
+
     fn lingering(&self) -> usize {
         self.stations.iter().map(|station| station.lingering()).sum()
     }
--- a/engine/src/station.rs
+++ b/engine/src/station.rs
@@ -133,7 +133,7 @@
 pub(crate) enum Told<A> {
     Ended(Ended<A>),
     Late(Option<A>),
-    /// The station before it has given up what it has taken.
+    /// A station before this one has given up what this one, or one behind it, has taken.
     Gone,
 }
 
@@ -274,18 +274,30 @@
     }
 
     /// Gives a call up that nobody waits for: what is out of it is called off, where that is allowed. The station hears
-    /// of its end no more, but by [`Station::late`]. Whether it may have run. Where a station behind has taken it, that
-    /// one hears that its client has gone, and does as it does then.
-    pub fn give_up(&mut self, id: CallId) -> bool {
-        let Some(call) = self.calls.get_mut(&id).filter(|call| call.owner.is_some()) else {
-            return false;
+    /// of its end no more, but by [`Station::late`]. `Some`: whether it may have run. `None`: it has ended, and the
+    /// station hears so as of any end.
+    ///
+    /// Where a station behind has taken it, or keeps it back, that one hears that its client has gone and does as it
+    /// does then: what it answers comes as an end.
+    pub fn give_up(&mut self, id: CallId) -> Option<bool> {
+        let at = self.at;
+        if self.told.iter().any(|(to, call, told)| (*to, *call) == (at, id) && matches!(told, Told::Ended(_)))
+        {
+            return None;
+        }
+        let Some(call) = self.calls.get_mut(&id) else {
+            // It is no call yet: nothing of it was sent.
+            self.told.push_back((at + 1, id, Told::Gone));
+            return Some(false);
         };
         let may_have_run = call.may_have_run();
-        if let Some(&Owner::Station(behind)) = call.owner.as_ref() {
-            if behind > self.at {
+        match call.owner {
+            None => return None,
+            Some(Owner::Station(behind)) if behind > at => {
                 self.told.push_back((behind, id, Told::Gone));
-                return may_have_run;
+                return Some(may_have_run);
             }
+            Some(_) => {}
         }
         if let Some(Owner::Station(at)) = call.owner.take() {
             call.late = Some(at);
@@ -293,7 +305,7 @@
         call.lingers = false;
         self.events.push_back(Event::Gone { call: id });
         self.tidy(id);
-        may_have_run
+        Some(may_have_run)
     }
 
     /// Sees that the station is woken at this moment, or before.
--- a/keys/station/src/lib.rs
+++ b/keys/station/src/lib.rs
@@ -199,9 +199,11 @@
     /// where it is not.
     fn give_up(&mut self, desk: &mut Desk<P>, slot: Slot) {
         let Some(call) = self.call(slot) else { return };
+        // One that has ended is told of.
+        let Some(may_have_run) = desk.give_up(call) else { return };
         self.slots.remove(&call);
         self.late.insert(call, slot);
-        let end = if desk.give_up(call) { End::Unsure } else { End::NeverRan };
+        let end = if may_have_run { End::Unsure } else { End::NeverRan };
         self.store.ended(desk.now(), slot, end);
     }
 }
@@ -258,7 +260,8 @@
     }
 
     fn ended(&mut self, desk: &mut Desk<P>, call: CallId, ended: Ended<P::Answer>) {
-        let Some(slot) = self.slots.remove(&call) else { return };
+        // A station behind may answer what was given up.
+        let Some(slot) = self.slots.remove(&call).or_else(|| self.late.remove(&call)) else { return };
         self.settle(desk, slot, ended);
     }
 
--- a/proxy/src/operators.rs
+++ b/proxy/src/operators.rs
@@ -15,6 +15,7 @@
 use nettleworks_keys_station::{Operate, WithKeys};
 use serde::Deserialize;
 use serde_json::{json, Value};
+use socket2::{Domain, SockAddr, Socket, Type};
 use std::fs::{self, DirBuilder, Permissions};
 use std::io;
 use std::os::unix::fs::{DirBuilderExt, PermissionsExt};
@@ -92,8 +93,15 @@
 /// Listens at a file that only its owner can open, from its first moment on: it is made in a folder of its own and
 /// put in its place when it is ready. A file that a dead process has left is replaced.
 fn bind(path: &Path) -> io::Result<UnixListener> {
-    if std::os::unix::net::UnixStream::connect(path).is_ok() {
-        return Err(io::ErrorKind::AddrInUse.into());
+    // One that is there and busy must not keep this process waiting.
+    let other = Socket::new(Domain::UNIX, Type::STREAM, None)?;
+    other.set_nonblocking(true)?;
+    match other.connect(&SockAddr::unix(path)?) {
+        Ok(()) => return Err(io::ErrorKind::AddrInUse.into()),
+        Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+            return Err(io::ErrorKind::AddrInUse.into())
+        }
+        Err(_) => {}
     }
     if fs::symlink_metadata(path).is_ok_and(|there| {
         use std::os::unix::fs::FileTypeExt;
