--- a/engine/src/driver/attempts.rs
+++ b/engine/src/driver/attempts.rs
@@ -29,6 +29,7 @@
             }
             Action::Subscribe => self.subscribe(handle),
             Action::Log { text } => self.desk.log(&text),
+            Action::Tell { .. } => {}
             // The module asks for none where the settings allow none, and this program has none to offer.
             Action::Probe { .. } => {}
         }
--- a/engine/src/driver/mod.rs
+++ b/engine/src/driver/mod.rs
@@ -5,21 +5,22 @@
 mod attempts;
 mod members;
 mod shown;
+mod way;
 
 use crate::calls::call::Call;
-use crate::calls::{Ask, Caller, Guest, Outlives, Owner, Reply};
+use crate::calls::{Ask, Caller, Guest, Owner, Reply};
 use crate::clock::Clock;
 use crate::config::Config;
 use crate::protocol::Protocol;
 use crate::state::{Observer, State};
-use crate::station::{Desk, Station, Step, Told};
+use crate::station::{Desk, Station};
 use crate::task::Task;
 use crate::Log;
 use members::Hosts;
-use nettleworks_policy::{Balancer, CallId, Event, Micros};
+use nettleworks_policy::{Balancer, CallId, Event};
 use shown::Counts;
 use std::any::Any;
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::{BTreeMap, HashSet, VecDeque};
 use std::rc::Rc;
 use std::time::Duration;
@@ -310,91 +311,3 @@
         }
     }
 }
-
-impl<P: Protocol> Driver<P> {
-    /// Takes a request past the stations from this one on; behind the last the module hears of it.
-    fn enter(&mut self, from: usize, mut guest: Guest<P>) {
-        for at in from..self.stations.len() {
-            self.desk.at = at;
-            match self.stations[at].arrive(&mut self.desk, guest) {
-                Step::Pass(on) => guest = on,
-                Step::Done => return,
-            }
-        }
-        self.begin(guest);
-    }
-
-    /// A request has passed all stations: it is a call.
-    fn begin(&mut self, guest: Guest<P>) {
-        let Guest {
-            number,
-            ask: Ask { id, class, tenant, deadline, resent, .. },
-            request,
-            owner,
-            outlives,
-            ..
-        } = guest;
-        let limit = outlives.map(|Outlives { until, .. }| Rc::new(Cell::new(until.max(deadline))));
-        let past_aim = outlives.is_some_and(|outlives| outlives.past_aim);
-        let (owner, late, attempts, lingers, may_have_run) = (Some(owner), None, Vec::new(), false, false);
-        let call =
-            Call { id, request, deadline, owner, late, limit, past_aim, lingers, may_have_run, attempts };
-        self.desk.calls.insert(number, call);
-        let time_left = deadline.saturating_duration_since(Instant::now()).as_micros() as Micros;
-        self.desk.events.push_back(Event::Request { call: number, class, tenant, time_left, resent });
-    }
-
-    /// What stations are to hear, until none has more to say.
-    fn tell_stations(&mut self) {
-        loop {
-            if let Some((at, call, told)) = self.desk.told.pop_front() {
-                self.desk.at = at;
-                match told {
-                    Told::Ended(ended) => self.stations[at].ended(&mut self.desk, call, ended),
-                    Told::Late(answer) => self.stations[at].late(&mut self.desk, call, answer),
-                    Told::Gone => drop(self.gone_at(at, call)),
-                }
-            } else if let Some((at, guest)) = self.desk.entering.pop_front() {
-                self.enter(at, guest);
-            } else {
-                return;
-            }
-        }
-    }
-
-    fn wake_stations(&mut self) {
-        let now = Instant::now();
-        for at in 0..self.stations.len() {
-            if self.stations[at].wake_at(&self.desk).is_some_and(|due| due <= now) {
-                self.desk.at = at;
-                self.stations[at].wake(&mut self.desk);
-            }
-        }
-    }
-
-    /// A client has gone. `false`: there was none.
-    fn gone(&mut self, id: CallId) -> bool {
-        if self.gone_at(0, id) {
-            return true;
-        }
-        let plain = |owner: &mut Owner<P::Answer>| matches!(owner, Owner::Caller(_));
-        if self.desk.calls.get_mut(&id).and_then(|call| call.owner.take_if(plain)).is_none() {
-            return false;
-        }
-        self.desk.events.push_back(Event::Gone { call: id });
-        self.desk.tidy(id);
-        true
-    }
-
-    /// The same for the stations from this one on. It may have answered meanwhile.
-    fn gone_at(&mut self, from: usize, id: CallId) -> bool {
-        (from..self.stations.len()).any(|at| {
-            self.desk.at = at;
-            self.stations[at].gone(&mut self.desk, id)
-        })
-    }
-
-    fn lingering(&self) -> usize {
-        self.stations.iter().map(|station| station.lingering()).sum()
-    }
-}
