Lease room at hosts by atomics, checked by loom; the module can share its room

Budgets must hold over several engines of one process. Loans by messages (bank, purse) moved room a message late and said nothing of trials; they go. Room at a host is now one word for what is free and who waits, and one a shard for its lease and its calls in flight, so that no order of two writes is there to get wrong; the one trial is leased too, and a stalled shard's spare room is taken back from under it safely. Ticket decides whether a handed-over request ran; Roll who lives. The module takes Event::Room in the place of its budget and Event::Heard from its neighbours where settings say that room is shared; else nothing changes.

--- a/adapter/src/main.rs
+++ b/adapter/src/main.rs
@@ -212,6 +212,8 @@
         Action::Wake { after } => Command::SetAlarm { proxy, offset_us: after, tag: 0 },
         Action::Subscribe => Command::Listen { proxy, enable: true },
         Action::Log { text } => Command::Trace { proxy, note_text: text },
+        // Only where several balancers of one process share their room.
+        Action::Tell { .. } => return None,
     })
 }
 
--- a/policy/src/api.rs
+++ b/policy/src/api.rs
@@ -129,6 +129,9 @@
     pub tick: Micros,
     /// Whether news of the server list must be asked for.
     pub ask: bool,
+    /// Whether other balancers of the same process send to the same servers: room there is told by [`Event::Room`],
+    /// and until it is told there is none.
+    pub shared: bool,
     /// Classes of calls.
     pub classes: Vec<Class>,
     /// Tenants, if there are any.
@@ -150,6 +153,7 @@
             me: 0,
             tick: 1_000,
             ask: false,
+            shared: false,
             classes: vec![Class { aim: 500_000, deadline: 1_000_000, worth: 1.0, late_value: 0.0, repeat }],
             tenants: Vec::new(),
             limits: Limits {
@@ -258,6 +262,30 @@
     pub busy: Option<f64>,
 }
 
+/// What one balancer of a process has learned of a server and the others are told, as none sees all that comes back.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum News {
+    /// Its last report.
+    Load(Load),
+    /// It is set aside.
+    SetAside,
+    /// A trial call has brought it back.
+    TakenBack,
+    /// A trial call beyond its budget was served.
+    Grown,
+}
+
+/// A server that would be sent more if it might ([`crate::Balancer::short`]).
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Short {
+    /// Which.
+    pub server: ServerId,
+    /// There is no room there.
+    pub room: bool,
+    /// A trial would go there, if it might.
+    pub trial: bool,
+}
+
 /// What the proxy tells the balancer.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
@@ -333,6 +361,25 @@
         /// Which.
         call: CallId,
     },
+    /// Room at a server, where it is shared ([`Settings::shared`]): it stands in the place of this balancer's own
+    /// budget there.
+    Room {
+        /// Which server.
+        server: ServerId,
+        /// So many calls of this balancer may be in flight there.
+        room: u32,
+        /// Whether one more may go, as a trial.
+        trial: bool,
+    },
+    /// Another balancer of the process has learned something of a server.
+    Heard {
+        /// Which server.
+        server: ServerId,
+        /// What.
+        news: News,
+        /// How long ago.
+        age: Micros,
+    },
     /// A time asked for by [`Action::Wake`] has come.
     Timer,
 }
@@ -380,6 +427,13 @@
     },
     /// Subscribe to the server list.
     Subscribe,
+    /// Tell the other balancers of the process; only where room is shared.
+    Tell {
+        /// Of which server.
+        server: ServerId,
+        /// What.
+        news: News,
+    },
     /// A line for whoever is on call.
     Log {
         /// The line.
--- a/policy/src/balance.rs
+++ b/policy/src/balance.rs
@@ -80,12 +80,26 @@
     /// While cold it is sent nothing before that many answers of this balancer, or before this time.
     cold_answers: u64,
     cold_until: Micros,
+    /// Where room is shared in the process: this balancer's part, and whether it may go beyond by a trial.
+    room: Option<(u32, bool)>,
+    /// When its last report was made.
+    reported: Micros,
 }
 
 impl Server {
-    fn new(entry: &Entry, balancers: u32) -> Self {
+    fn new(entry: &Entry, settings: &Settings) -> Self {
         let &Entry { server: id, zone, cell, started, .. } = entry;
-        Server { id, zone, cell, started, weight: 1.0, budget: Budget::new(balancers), ..Server::default() }
+        let (budget, room) = (Budget::new(settings.balancers), settings.shared.then_some((0, false)));
+        Server { id, zone, cell, started, weight: 1.0, budget, room, ..Server::default() }
+    }
+
+    /// How many calls its budget allows now, as a mean.
+    fn allows(&self, now: Micros, rules: &Rules) -> f64 {
+        f64::from(self.budget.steps) * self.budget.concurrency * self.warmth(now, rules)
+    }
+
+    fn may_try(&self) -> bool {
+        self.room.is_none_or(|(_, trial)| trial)
     }
 
     /// With few calls there are none in flight at most servers: recent past and listed size tell them apart.
@@ -108,8 +122,8 @@
     }
 
     fn full(&self, now: Micros, rules: &Rules) -> bool {
-        let budget = f64::from(self.budget.steps) * self.budget.concurrency * self.warmth(now, rules);
-        self.in_flight >= (budget + 0.5).max(1.0) as u32
+        let own = || (self.allows(now, rules) + 0.5).max(1.0) as u32;
+        self.in_flight >= self.room.map_or_else(own, |(room, _)| room)
     }
 
     fn open(&self, now: Micros, served: u64, rules: &Rules) -> bool {
@@ -118,6 +132,12 @@
         self.listed && now >= self.not_before && paced && rested
     }
 
+    /// May a call go beyond its budget, to learn whether it takes more?
+    fn tryable(&self, now: Micros, longest: f64, rules: &Rules) -> bool {
+        let settled = self.changed == 0 || self.settled(now, longest);
+        self.budget.trial_ready(now) && self.strain <= 1.0 && settled && self.warmth(now, rules) >= 1.0
+    }
+
     fn usable(&self, now: Micros, served: u64, rules: &Rules) -> bool {
         self.budget.steps > 0 && self.open(now, served, rules)
     }
@@ -128,7 +148,10 @@
     }
 
     fn returning(&self, now: Micros, served: u64, rules: &Rules) -> bool {
-        self.budget.steps == 0 && self.budget.trial_ready(now) && self.open(now, served, rules)
+        self.budget.steps == 0
+            && self.budget.trial_ready(now)
+            && self.open(now, served, rules)
+            && self.may_try()
     }
 }
 
@@ -234,7 +257,7 @@
                 self.admit(now, call, tenant, actions);
             }
             Event::Outcome { call, attempt, outcome, elapsed, closed, load } => {
-                self.report(call, attempt, load);
+                self.report(now, call, attempt, load);
                 if let Some(tried) = self.outcome(call, attempt, outcome) {
                     self.learn(now, tried, outcome, elapsed, actions);
                     self.proceed(now, call, outcome, closed, actions);
@@ -268,6 +291,11 @@
             }
             // Of several alarms only the one due now counts: else each would set another for good.
             Event::Timer if now >= self.timer_at => self.timer_at = Micros::MAX,
+            Event::Room { server, room, trial } => {
+                let place = self.servers.binary_search_by_key(&server, |s| s.id);
+                place.into_iter().for_each(|at| self.servers[at].room = Some((room, trial)));
+            }
+            Event::Heard { server, news, age } => self.heard(now, server, news, age),
             Event::Timer | Event::Start | Event::Probed { .. } => {}
             Event::Request { .. } | Event::Lingers { .. } => {}
         }
@@ -282,6 +310,37 @@
         self.set_timer(now, actions);
     }
 
+    // What is shared with other balancers of the process.
+
+    /// How many calls wait to go.
+    pub fn held(&self) -> usize {
+        self.hold.len()
+    }
+
+    /// How many calls a server's budget allows here, as a mean; 0 for one that is set aside or not there.
+    pub fn allows(&self, now: Micros, server: ServerId) -> f64 {
+        let place = self.servers.binary_search_by_key(&server, |s| s.id);
+        place.map_or(0.0, |at| self.servers[at].allows(now, &self.settings.rules))
+    }
+
+    /// Whether a trial call is out to a server.
+    pub fn trying(&self, server: ServerId) -> bool {
+        let place = self.servers.binary_search_by_key(&server, |s| s.id);
+        place.is_ok_and(|at| self.servers[at].budget.trial_out)
+    }
+
+    /// The servers to which calls would go if there were room there, or if a trial might go.
+    pub fn short(&self, now: Micros) -> impl Iterator<Item = Short> + '_ {
+        let (rules, longest) = (&self.settings.rules, self.longest_usual());
+        self.servers.iter().filter_map(move |s| {
+            let (_, may_try) = s.room?;
+            let room = s.usable(now, self.served, rules) && s.full(now, rules);
+            let returns = s.budget.steps == 0 && s.budget.trial_ready(now) && s.open(now, self.served, rules);
+            let trial = !may_try && (returns || room && s.tryable(now, longest, rules));
+            (room || trial).then_some(Short { server: s.id, room, trial })
+        })
+    }
+
     // The list.
 
     fn members(&mut self, now: Micros, kind: ListKind, entries: &[Entry]) {
@@ -303,7 +362,7 @@
             let place = found.unwrap_or_else(|place| place);
             // A restart under the same number is a new, cold process: nothing learned of the old one holds.
             if found.is_err() || entry.started > self.servers[place].started {
-                let mut server = Server::new(entry, self.settings.balancers);
+                let mut server = Server::new(entry, &self.settings);
                 server.kept_busy(self.longest_usual(), self.sends, 1.0);
                 // Balancers hear of a cold server together: each waits a random part before its first call.
                 let (gap, span) = self.cold_gap(now, &server);
@@ -419,9 +478,13 @@
 
     /// What a server says of itself: as many waiting as in work, or nearly all cores busy, is as much as an
     /// answer at its limit. It tells a crowded server from one whose calls mostly wait on others.
-    fn report(&mut self, id: CallId, attempt: u32, load: Load) {
+    fn report(&mut self, now: Micros, id: CallId, attempt: u32, load: Load) {
         let Some(tried) = self.calls.get(&id).and_then(|c| c.attempts.get(attempt as usize)) else { return };
         let Ok(place) = self.servers.binary_search_by_key(&tried.server, |s| s.id) else { return };
+        self.crowded(now, place, load);
+    }
+
+    fn crowded(&mut self, at: Micros, place: usize, load: Load) {
         let crowding = match load {
             Load { in_hand: Some(in_hand), waiting: Some(waiting), .. } => {
                 waiting / (in_hand - waiting).max(1.0)
@@ -429,7 +492,28 @@
             Load { busy: Some(busy), .. } => busy / BUSY_FULL,
             _ => return,
         };
-        self.servers[place].crowding = if crowding.is_finite() { crowding.clamp(0.0, 4.0) } else { 0.0 };
+        let server = &mut self.servers[place];
+        server.crowding = if crowding.is_finite() { crowding.clamp(0.0, 4.0) } else { 0.0 };
+        server.reported = at;
+    }
+
+    /// What another balancer of the process has learned of a server. What this one has learned since holds.
+    fn heard(&mut self, now: Micros, id: ServerId, news: News, age: Micros) {
+        let (first, at) = (self.first_backoff(), now.saturating_sub(age));
+        let Ok(place) = self.servers.binary_search_by_key(&id, |s| s.id) else { return };
+        let server = &mut self.servers[place];
+        let up = server.budget.steps > 0;
+        match news {
+            News::Load(load) if at > server.reported => self.crowded(at, place, load),
+            News::SetAside if up && server.answered < at => {
+                (server.budget.steps, server.strain) = (0, 1.0);
+                server.budget.back_off(now, first);
+            }
+            News::TakenBack if !up => server.budget.trial_served(),
+            News::Grown if up => server.budget.trial_served(),
+            _ => {}
+        }
+        self.count();
     }
 
     /// What a server's answer, or its absence, teaches.
@@ -530,6 +614,8 @@
             } else if was_up || server.failing < FAIL_LIMIT / 2.0 {
                 server.budget.trial_served();
                 (server.answers_since, server.changed) = (0, now);
+                let news = if was_up { News::Grown } else { News::TakenBack };
+                actions.extend(server.room.map(|_| Action::Tell { server: id, news }));
                 if !was_up {
                     actions.push(Action::Log { text: format!("server {} taken back", server.id.0) });
                 }
@@ -544,6 +630,7 @@
             // What it showed before says nothing of how it will be when it comes back.
             server.strain = 1.0;
             actions.push(Action::Log { text: format!("server {} set aside", server.id.0) });
+            actions.extend(server.room.map(|_| Action::Tell { server: id, news: News::SetAside }));
         }
         // Many balancers that each try it now and then are no rest: it is tried by a part of the usual calls.
         if self.pool.is_some() && (outcome == Outcome::TurnedAway || server.budget.steps == 0) {
@@ -614,12 +701,7 @@
         let call = &self.calls[&id];
         let (rules, tick) = (&self.settings.rules, self.settings.tick);
         let longest = self.longest_usual();
-        let ready = |s: &Server| {
-            s.budget.trial_ready(now)
-                && s.strain <= 1.0
-                && (s.changed == 0 || s.settled(now, longest))
-                && s.warmth(now, rules) >= 1.0
-        };
+        let ready = |s: &Server| s.may_try() && s.tryable(now, longest, rules);
         let full_pool = self.pool.as_ref().filter(|p| p.up > 0.0 && p.room_at(longest) > now);
         let pool_full = full_pool.is_some();
         if full_pool.is_some_and(|p| p.strain > 1.0 || !p.budget.trial_ready(now)) {
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -128,6 +128,7 @@
         me: facts.me,
         tick: facts.tick_us,
         ask: facts.discovery == "ask",
+        shared: false,
         classes,
         tenants: facts.tenants.iter().map(|t| Tenant { share: t.portion }).collect(),
         limits: Limits {
--- a/shards/src/lib.rs
+++ b/shards/src/lib.rs
@@ -1,16 +1,20 @@
 //! What must hold over several engines (*shards*) of one process, decided without I/O and without a clock.
 //!
-//! - [`bank`] and [`purse`]: room at a host for calls in flight. Each shard's module has a budget of its own, as one
-//!   balancer among as many as there are shards; what one does not use it lends to those that need it. The sum of what
-//!   shards may have in flight never exceeds the sum of their budgets, whatever is under way between them.
-//! - [`owner`]: which shard a key belongs to.
+//! - [`room`]: calls in flight at a host. The process's room is one, leased to shards and moved to where calls wait.
+//! - [`ticket`]: whether a request that was handed to another shard was taken there, or surely never ran.
+//! - [`owner`] and [`roll`]: which shard a key belongs to, who lives, and who stands in for one that does not answer.
 //! - [`news`]: what one shard has learned, told to the others in order, with an age.
+//! - [`ids`]: the ids of all open calls.
 //!
-//! Shards share no memory: they send messages over bounded queues, and each message is handled when it comes.
+//! [`room`] and [`ticket`] are shared by threads and are checked by `loom` in all interleavings of small cases
+//! (`tests/threads.rs`, feature `loom`); the rest belongs to one thread or is under a lock off the ordinary path.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
-pub mod bank;
+pub mod ids;
 pub mod news;
 pub mod owner;
-pub mod purse;
+pub mod roll;
+pub mod room;
+mod sync;
+pub mod ticket;
--- a/shards/src/owner.rs
+++ b/shards/src/owner.rs
@@ -4,8 +4,14 @@
 use siphasher::sip::SipHasher13;
 use std::hash::Hasher;
 
-/// The shard, below `shards`, to which a key of a tenant and class belongs; 0 without any.
-pub fn owner(seed: u64, shards: usize, tenant: Option<u32>, class: u32, key: &[u8]) -> usize {
+/// Which of these shards a key of a tenant and class belongs to; 0 without any.
+pub fn among(
+    shards: impl Iterator<Item = usize>,
+    seed: u64,
+    tenant: Option<u32>,
+    class: u32,
+    key: &[u8],
+) -> usize {
     let weight = |shard: usize| {
         let mut hasher = SipHasher13::new_with_keys(seed, shard as u64);
         hasher.write_u64(tenant.map_or(u64::MAX, u64::from));
@@ -13,7 +19,7 @@
         hasher.write(key);
         hasher.finish()
     };
-    (0..shards).max_by_key(|&shard| (weight(shard), shard)).unwrap_or(0)
+    shards.max_by_key(|&shard| (weight(shard), shard)).unwrap_or(0)
 }
 
 #[cfg(test)]
@@ -21,7 +27,7 @@
     use super::*;
 
     fn owners(shards: usize) -> Vec<usize> {
-        (0..20_000_u32).map(|n| owner(7, shards, Some(n % 3), n % 2, &n.to_be_bytes())).collect()
+        (0..20_000_u32).map(|n| among(0..shards, 7, Some(n % 3), n % 2, &n.to_be_bytes())).collect()
     }
 
     #[test]
@@ -42,9 +48,9 @@
 
     #[test]
     fn a_tenant_and_a_class_are_part_of_a_key() {
-        let of = |tenant, class| (0..64_u8).map(|n| owner(1, 4, tenant, class, &[n])).collect::<Vec<_>>();
+        let of = |tenant, class| (0..64_u8).map(|n| among(0..4, 1, tenant, class, &[n])).collect::<Vec<_>>();
         assert_ne!(of(None, 0), of(Some(0), 0));
         assert_ne!(of(None, 0), of(None, 1));
-        assert_eq!(owner(1, 0, None, 0, b"k"), 0);
+        assert_eq!(among(0..0, 1, None, 0, b"k"), 0);
     }
 }
