--- a/engine/src/calls/call.rs
+++ b/engine/src/calls/call.rs
@@ -1,6 +1,7 @@
 //! A call from its request until its answer is given and none of its attempts is out.
 
 use super::Owner;
+use crate::group::Place;
 use crate::meter::Meter;
 use crate::protocol::Protocol;
 use crate::task::Task;
@@ -73,6 +74,8 @@
     pub address: SocketAddr,
     pub sent: Instant,
     pub meter: Meter,
+    /// Its place at the host, where room there is shared.
+    pub place: Option<Place>,
     /// Ends the exchange and closes its connection when dropped.
     pub _task: Task,
 }
--- a/engine/src/calls/mod.rs
+++ b/engine/src/calls/mod.rs
@@ -2,10 +2,13 @@
 
 pub(crate) mod call;
 
+use crate::group::Group;
 use crate::protocol::Protocol;
 use hyper::body::Bytes;
 use nettleworks_policy::{CallId, ClassId, TenantId};
+use std::collections::HashMap;
 use std::fmt;
+use std::hash::Hash;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{oneshot, OwnedSemaphorePermit};
@@ -95,6 +98,41 @@
     pub(crate) id_is_out: bool,
 }
 
+/// The ids of an engine's open calls, and whether they were opened here.
+#[derive(Debug)]
+pub(crate) struct OpenIds<I>(HashMap<I, bool>);
+
+impl<I: Eq + Hash + Clone> OpenIds<I> {
+    pub fn new() -> Self {
+        OpenIds(HashMap::new())
+    }
+
+    /// Opens an id for a request of this engine's own, or for one that another has handed over, where it is open.
+    /// `false`: it is open already.
+    pub fn open<P: Protocol<Id = I>>(
+        &mut self,
+        id: &I,
+        own: bool,
+        group: &mut Option<Box<dyn Group<P>>>,
+    ) -> bool {
+        if self.0.contains_key(id) || own && !group.as_mut().is_none_or(|group| group.open(id)) {
+            return false;
+        }
+        self.0.insert(id.clone(), own);
+        true
+    }
+
+    pub fn close<P: Protocol<Id = I>>(&mut self, id: &I, group: &mut Option<Box<dyn Group<P>>>) {
+        if self.0.remove(id) == Some(true) {
+            group.iter_mut().for_each(|group| group.close(id));
+        }
+    }
+
+    pub fn len(&self) -> usize {
+        self.0.len()
+    }
+}
+
 /// How a call may go on when nobody waits for it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Outlives {
--- a/engine/src/config.rs
+++ b/engine/src/config.rs
@@ -2,6 +2,7 @@
 
 use crate::extras::Extras;
 use crate::list::List;
+use crate::quota::Quota;
 use nettleworks_policy::Settings;
 use serde::{Deserialize, Deserializer};
 use serde_json::Value;
@@ -40,6 +41,8 @@
     pub calls: Option<usize>,
     /// What stations are told; each reads a file of its own.
     pub extras: Extras,
+    /// Connections that are open. Engines of one process count together.
+    pub quota: Quota,
     /// Places of the keys that are not known, outside the settings. They may be a later platform's, or slips.
     pub unknown: Vec<String>,
     /// Places of the settings that are not used here. The platform tells more than it takes.
@@ -173,6 +176,7 @@
             conn_idle: Duration::from_micros(site.conn_idle_us),
             calls: file.nettleworks.calls,
             extras: Extras::default(),
+            quota: Quota::default(),
             unknown,
             unused,
         })
--- a/engine/src/driver/attempts.rs
+++ b/engine/src/driver/attempts.rs
@@ -3,6 +3,7 @@
 use super::{Driver, Handle};
 use crate::calls::call::{ended, Attempt};
 use crate::calls::{Owner, Reply};
+use crate::group::Place;
 use crate::meter::Meter;
 use crate::protocol::{End, Protocol, Target};
 use crate::station::Told;
@@ -29,7 +30,9 @@
             }
             Action::Subscribe => self.subscribe(handle),
             Action::Log { text } => self.desk.log(&text),
-            Action::Tell { .. } => {}
+            Action::Tell { server, news } => {
+                self.desk.group.iter_mut().for_each(|group| group.tell(server, news));
+            }
             // The module asks for none where the settings allow none, and this program has none to offer.
             Action::Probe { .. } => {}
         }
@@ -46,14 +49,16 @@
         let to = self.hosts.ready(server).map(|address| Target { server, address });
         let to = to.filter(|_| call.owner.is_some() && now < until);
         let closed = call.owner.is_none();
-        let Some(to) = to.filter(|to| self.allowed(id, *to)) else {
+        // The stations first: what they refuse takes no place.
+        let place = to.filter(|to| self.allowed(id, *to)).and_then(|to| Some((to, self.place(to)?)));
+        let Some((to, place)) = place else {
             if let Some(call) = self.desk.calls.get_mut(&id) {
                 call.attempts.push(None);
             }
             return self.desk.events.push_back(ended(id, attempt, Outcome::NotSent, Duration::ZERO, closed));
         };
         let Some(call) = self.desk.calls.get_mut(&id) else { return };
-        let meter = Meter::default();
+        let meter = Meter::new(self.fresh.clone());
         let exchange = self.protocol.attempt(to, call.request.clone(), until, &meter);
         let task = {
             let (handle, meter) = (handle.clone(), meter.clone());
@@ -79,7 +84,23 @@
             })
         };
         self.counts.attempts += 1;
-        call.attempts.push(Some(Attempt { server, address: to.address, sent: now, meter, _task: task }));
+        call.attempts.push(Some(Attempt {
+            server,
+            address: to.address,
+            sent: now,
+            meter,
+            place,
+            _task: task,
+        }));
+    }
+
+    /// A place at a host, where there are others that send to it; `None`: there is no room.
+    #[expect(clippy::option_option, reason = "without others none is needed")]
+    fn place(&mut self, to: Target) -> Option<Option<Place>> {
+        match &mut self.desk.group {
+            None => Some(None),
+            Some(group) => group.begin(to.server).map(Some),
+        }
     }
 
     /// Whether the stations let an attempt go.
@@ -133,12 +154,16 @@
         let mut driver = self.0.borrow_mut();
         let desk = &mut driver.desk;
         let Some(call) = desk.calls.get_mut(&id) else { return };
-        let Some(out) = call.attempts.get_mut(attempt as usize).and_then(Option::take) else { return };
+        let taken = call.attempts.get_mut(attempt as usize).and_then(Option::take);
+        let Some(mut out) = taken else { return };
+        // Free before the module hears of it: it may send another at once.
+        drop(out.place.take());
         call.may_have_run |= !end.outcome.never_ran();
         let answer = end.answer.take();
         let owner = answer.as_ref().and_then(|_| call.owner.take());
         let (elapsed, closed) = (out.sent.elapsed().as_micros() as Micros, call.owner.is_none());
         let (outcome, load, lingers) = (end.outcome, end.load, call.lingers);
+        desk.group.iter_mut().for_each(|group| group.reported(out.server, load));
         desk.events.push_back(Event::Outcome { call: id, attempt, outcome, elapsed, closed, load });
         match (owner, answer) {
             (Some(owner), Some(answer)) => desk.tell(id, owner, Reply::Served(answer), true),
--- a/engine/src/driver/members.rs
+++ b/engine/src/driver/members.rs
@@ -13,6 +13,17 @@
 /// Where the list is pushed the module never asks for it: a watch that ended is opened again after this.
 const PUSH_RETRY: Duration = Duration::from_secs(1);
 
+/// Where a list comes from.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum Source {
+    /// The configuration, as this proxy last had it.
+    Known,
+    /// The watch of this number.
+    Watch(u64),
+    /// Another engine of the process.
+    Group,
+}
+
 /// A host of the list.
 pub(super) struct Host {
     pub dial: SocketAddr,
@@ -43,12 +54,22 @@
     }
 
     /// The number of a host, and whether it is new, or has moved or started again.
-    fn intern(&mut self, entry: &list::Host) -> (ServerId, bool, bool) {
+    fn intern(
+        &mut self,
+        entry: &list::Host,
+        number: Option<impl FnOnce(&str) -> ServerId>,
+    ) -> (ServerId, bool, bool) {
         let known = self.names.get(&entry.host).copied();
         let server = known.unwrap_or_else(|| {
-            self.next += 1;
-            self.names.insert(entry.host.clone(), ServerId(self.next));
-            ServerId(self.next)
+            let server = match number {
+                Some(number) => number(&entry.host),
+                None => {
+                    self.next += 1;
+                    ServerId(self.next)
+                }
+            };
+            self.names.insert(entry.host.clone(), server);
+            server
         });
         let (dial, born_ms, health) = (entry.dial, entry.born_ms, entry.health);
         let host = self.by_number.entry(server).or_insert(Host { dial, born_ms, health });
@@ -59,15 +80,20 @@
 }
 
 impl<P: Protocol> Handle<P> {
-    /// Takes a list in, from a watch or (`None`) the configuration: hosts that it does not name ready get nothing
+    /// Takes a list in: hosts that it does not name ready get nothing
     /// more that is not yet on its way.
-    pub(super) fn members(&self, list: List, watch: Option<u64>) {
+    pub(super) fn members(&self, list: List, source: Source) {
         let mut driver = self.0.borrow_mut();
-        // A watch that was replaced may have more lines at hand; their versions are another discovery's.
-        if watch.is_some_and(|watch| watch != driver.watches) {
-            return;
+        if let Source::Watch(watch) = source {
+            // A watch that was replaced may have more lines at hand; their versions are another discovery's.
+            if watch != driver.watches {
+                return;
+            }
+            driver.desk.group.iter_mut().for_each(|group| group.listed(&list));
         }
-        let cached = watch.is_none();
+        let cached = matches!(source, Source::Known);
+        // What unwinds through here leaves it so.
+        driver.torn = driver.desk.group.is_some();
         let hosts = &mut driver.hosts;
         hosts.listed |= !cached || !list.hosts.is_empty();
         hosts.seq = Some(list.seq);
@@ -97,7 +123,10 @@
         let hosts = &mut driver.hosts;
         hosts.by_number.retain(|_, host| host.health != Health::Gone);
         hosts.names.retain(|_, server| hosts.by_number.contains_key(server));
+        let Driver { desk, hosts, .. } = &mut *driver;
+        desk.group.iter_mut().for_each(|group| group.retain(&|server| hosts.by_number.contains_key(&server)));
         driver.show();
+        driver.torn = false;
         drop(driver);
         self.run([]);
     }
@@ -105,13 +134,17 @@
 
 impl<P: Protocol> Driver<P> {
     pub(super) fn subscribe(&mut self, handle: &Handle<P>) {
+        if !self.desk.group.as_ref().is_none_or(|group| group.watches()) {
+            return;
+        }
         let (handle, discovery, since) = (handle.clone(), self.desk.config.discovery, self.hosts.seq);
         let pushed = !self.desk.config.settings.ask;
         self.watches += 1;
         let watch = self.watches;
         // The task of the last watch, if there is one, ends here.
         self.watch = Some(task::spawn(async move {
-            let reason = discovery::watch(discovery, since, |list| handle.members(list, Some(watch))).await;
+            let reason =
+                discovery::watch(discovery, since, |list| handle.members(list, Source::Watch(watch))).await;
             if handle.0.borrow().watches != watch {
                 return;
             }
@@ -126,7 +159,8 @@
 
     /// The number of a host. What is idle there is of no use once it moves or starts again.
     fn intern(&mut self, entry: &list::Host) -> ServerId {
-        let (server, new, moved) = self.hosts.intern(entry);
+        let number = self.desk.group.as_mut().map(|group| |name: &str| group.number(name));
+        let (server, new, moved) = self.hosts.intern(entry, number);
         if new {
             // The module's lines name servers by number alone.
             self.desk.log(&format!("server {} is {} at {}", server.0, entry.host, entry.dial));
@@ -134,6 +168,7 @@
         if moved {
             self.protocol.retire(server);
         }
+        self.desk.group.iter_mut().for_each(|group| group.host(server, &entry.host, entry.born_ms));
         server
     }
 
--- a/engine/src/driver/mod.rs
+++ b/engine/src/driver/mod.rs
@@ -3,25 +3,28 @@
 //! order alone.
 
 mod attempts;
+mod group;
 mod members;
 mod shown;
 mod way;
 
 use crate::calls::call::Call;
-use crate::calls::{Ask, Caller, Guest, Owner, Reply};
+use crate::calls::{Ask, Caller, Guest, OpenIds, Owner, Reply};
 use crate::clock::Clock;
 use crate::config::Config;
+use crate::group::Group;
+use crate::meter::Fresh;
 use crate::protocol::Protocol;
 use crate::state::{Observer, State};
 use crate::station::{Desk, Station};
 use crate::task::Task;
 use crate::Log;
-use members::Hosts;
+use members::{Hosts, Source};
 use nettleworks_policy::{Balancer, CallId, Event};
 use shown::Counts;
 use std::any::Any;
 use std::cell::RefCell;
-use std::collections::{BTreeMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{oneshot, Notify};
@@ -35,6 +38,9 @@
 /// How often a stop looks whether calls still linger.
 const SETTLE_LOOK: Duration = Duration::from_millis(2);
 
+/// When to come again after a refusal by an engine that ends.
+const TORN: Duration = Duration::from_secs(1);
+
 /// The stations on the way, in their order.
 pub type Stations<P> = Vec<Box<dyn Station<P>>>;
 
@@ -52,6 +58,10 @@
     wake: Option<Instant>,
     counts: Counts,
     observer: Option<Box<dyn Observer>>,
+    /// Whether this engine has heard all that its process was told.
+    fresh: Fresh,
+    /// A panic has left it half way through a change.
+    torn: bool,
 }
 
 /// The driver, shared by the tasks of one thread. No method waits, and none is called from within another.
@@ -87,13 +97,27 @@
 impl<P: Protocol> Handle<P> {
     /// Starts the module with what the configuration holds. Its lines go to `log`.
     pub fn start(config: Rc<Config>, protocol: P, stations: Stations<P>, log: Log) -> Self {
+        Self::start_in(None, Fresh::default(), config, protocol, stations, log)
+    }
+
+    /// The same for one of several engines that serve as one. Its module must know that room is shared
+    /// ([`nettleworks_policy::Settings::shared`]).
+    pub fn start_in(
+        group: Option<Box<dyn Group<P>>>,
+        fresh: Fresh,
+        config: Rc<Config>,
+        protocol: P,
+        stations: Stations<P>,
+        log: Log,
+    ) -> Self {
         let desk = Desk {
             clock: Clock::new(),
             config: config.clone(),
             log,
             events: VecDeque::new(),
             calls: BTreeMap::new(),
-            open: HashSet::new(),
+            open: OpenIds::new(),
+            group,
             at: 0,
             told: VecDeque::new(),
             entering: VecDeque::new(),
@@ -113,11 +137,13 @@
             wake: None,
             counts: Counts::default(),
             observer: None,
+            fresh,
+            torn: false,
         };
         let handle = Handle(Rc::new(RefCell::new(driver)));
         handle.run([Event::Start]);
         if let Some(known) = config.known.clone() {
-            handle.members(known, None);
+            handle.members(known, Source::Known);
         }
         if !config.settings.ask {
             handle.0.borrow_mut().subscribe(&handle);
@@ -229,18 +255,31 @@
 
     /// Takes a request in. Its answer may be there when this returns.
     pub fn request(&self, ask: Ask<P::Id>, request: P::Request) -> Waiting<P> {
+        self.wait(ask, request, true)
+    }
+
+    fn wait(&self, ask: Ask<P::Id>, request: P::Request, own: bool) -> Waiting<P> {
         let (sender, reply) = oneshot::channel();
-        let call = self.call(ask, request, Caller { reply: sender, place: None });
+        let call = self.take_in(ask, request, Caller { reply: sender, place: None }, own);
         Waiting { driver: self.clone(), call, reply }
     }
 
     /// Takes a request in for a caller that is told of the answer elsewhere. [`Handle::gone`] with the id that
     /// comes back says that nobody waits any more.
     pub fn call(&self, ask: Ask<P::Id>, request: P::Request, caller: Caller<P::Answer>) -> CallId {
+        self.take_in(ask, request, caller, true)
+    }
+
+    fn take_in(&self, ask: Ask<P::Id>, request: P::Request, caller: Caller<P::Answer>, own: bool) -> CallId {
         let mut driver = self.0.borrow_mut();
         driver.next_call += 1;
         let number = CallId(driver.next_call);
-        if !driver.desk.open.insert(ask.id.clone()) {
+        if driver.torn {
+            caller.answer(Reply::Refused(TORN));
+            return number;
+        }
+        let Desk { open, group, .. } = &mut driver.desk;
+        if !open.open(&ask.id, own, group) {
             caller.answer(Reply::IdOpen);
             return number;
         }
@@ -265,11 +304,17 @@
     /// an answer does not wait for what the module makes of it.
     fn run(&self, events: impl IntoIterator<Item = Event>) {
         let mut driver = self.0.borrow_mut();
+        if driver.torn {
+            return;
+        }
         driver.desk.events.extend(events);
         let mut actions = Vec::new();
+        // What unwinds through here leaves it so.
+        driver.torn = driver.desk.group.is_some();
         loop {
             driver.tell_stations();
-            let Some(event) = driver.desk.events.pop_front() else { return };
+            driver.settle();
+            let Some(event) = driver.desk.events.pop_front() else { break };
             if let Event::Outcome { outcome, .. } = event {
                 *driver.counts.outcomes.entry(outcome).or_default() += 1;
             }
@@ -279,6 +324,7 @@
                 driver.carry_out(self, action);
             }
         }
+        driver.torn = false;
     }
 
     /// The one timer of the module and the stations.
--- /dev/null
+++ b/engine/src/group.rs
@@ -0,0 +1,56 @@
+//! The seam between an engine and others of the same process that serve as one with it.
+//!
+//! Each engine has a thread, calls, connections and a decision module of its own. What must hold over all of them (one
+//! watch of the list, room at hosts, ids that are open once) is decided behind [`Group`]; the engine says what happens
+//! and does what it is told. An engine by itself has no group, and the seam costs it nothing.
+
+use crate::list::List;
+use crate::protocol::Protocol;
+use nettleworks_policy::{Balancer, Event, Load, Micros, News, ServerId};
+use std::any::Any;
+use std::collections::VecDeque;
+
+/// A call's place at a host; dropped, it is free.
+pub type Place = Box<dyn Any>;
+
+/// What several engines of one process have in common, as one of them sees it.
+///
+/// All of it runs on the engine's thread. No method may block, or call the engine: it is called from within.
+pub trait Group<P: Protocol> {
+    /// Whether this engine watches the list, for all.
+    fn watches(&self) -> bool;
+
+    /// This engine's own watch has brought this.
+    fn listed(&mut self, list: &List);
+
+    /// The number of a host, the same at every engine.
+    fn number(&mut self, name: &str) -> ServerId;
+
+    /// A host is on the list, and its process started then; told again and again.
+    fn host(&mut self, server: ServerId, name: &str, born_ms: u64);
+
+    /// Only these hosts are on the list.
+    fn retain(&mut self, listed: &dyn Fn(ServerId) -> bool);
+
+    /// Opens a call's id. `false`: it is open at another engine.
+    fn open(&mut self, id: &P::Id) -> bool;
+
+    /// Closes an id that this engine has opened.
+    fn close(&mut self, id: &P::Id);
+
+    /// An attempt is about to go to a host. `None`: there is no room for it, and it must not.
+    fn begin(&mut self, server: ServerId) -> Option<Place>;
+
+    /// A host has reported its load.
+    fn reported(&mut self, server: ServerId, load: Load);
+
+    /// The module has learned something that the others are to hear.
+    fn tell(&mut self, server: ServerId, news: News);
+
+    /// Comes before each event of the module, and after the last. What the module is to hear first goes to the front of
+    /// `events`.
+    fn settle(&mut self, now: Micros, balancer: &Balancer, events: &mut VecDeque<Event>);
+
+    /// For whoever knows the type.
+    fn any(&mut self) -> &mut dyn Any;
+}
--- a/engine/src/http1/exchange.rs
+++ b/engine/src/http1/exchange.rs
@@ -1,5 +1,6 @@
 //! Connections to hosts, and one exchange on one of them.
 
+use super::Slot;
 use crate::dial::{dial, BoxError};
 use crate::meter::Meter;
 use crate::protocol::End;
@@ -17,7 +18,6 @@
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::task::yield_now;
@@ -84,7 +84,7 @@
     /// How often it had been read when its last answer was whole.
     reads: u64,
     _task: Task,
-    _slot: Rc<()>,
+    _slot: Slot,
 }
 
 impl Drop for Connection {
@@ -96,7 +96,7 @@
 
 impl Connection {
     /// Opens a connection; `slot` is held for as long as it is open.
-    pub async fn open(address: SocketAddr, limit: Duration, slot: Rc<()>) -> Result<Connection, BoxError> {
+    pub async fn open(address: SocketAddr, limit: Duration, slot: Slot) -> Result<Connection, BoxError> {
         let socket = Socket::new(timeout(limit, dial(address)).await??);
         let builder = http1::Builder::new().max_buf_size(HEAD_MOST).handshake(socket.clone());
         let (sender, connection) = builder.await?;
@@ -293,7 +293,7 @@
     async fn pair() -> (Connection, TcpStream) {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = listener.local_addr().expect("an address");
-        let open = Connection::open(address, Duration::from_secs(5), Rc::new(())).await.expect("it opens");
+        let open = Connection::open(address, Duration::from_secs(5), Slot::alone()).await.expect("it opens");
         (open, listener.accept().await.expect("accepted").0)
     }
 
--- a/engine/src/http1/mod.rs
+++ b/engine/src/http1/mod.rs
@@ -8,6 +8,7 @@
 use crate::config::Config;
 use crate::meter::Meter;
 use crate::protocol::{Connections, End, Protocol, Target};
+use crate::quota::{Counted, Side};
 use exchange::{exchange, Connection, Outgoing};
 use hyper::body::Bytes;
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
@@ -26,7 +27,7 @@
 const IDLE_PART: f64 = 0.9;
 
 /// A client's request as hosts get it.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Forward {
     /// Its method.
     pub method: Method,
@@ -67,12 +68,34 @@
 
 impl Pool {
     /// A place for one more connection to a host; the oldest idle one makes room when there is none.
-    fn slot(&mut self) -> Option<Rc<()>> {
-        if Rc::strong_count(&self.slots) > self.config.connections_to_hosts() {
+    fn slot(&mut self) -> Option<Slot> {
+        let most = self.config.connections_to_hosts();
+        let place = self.config.quota.place(Side::Hosts, most);
+        let place = place.or_else(|| {
             let oldest = self.hosts.values_mut().filter(|host| !host.idle.is_empty());
-            drop(oldest.min_by_key(|host| host.idle[0].0)?.idle.remove(0));
-        }
-        Some(self.slots.clone())
+            let Some(host) = oldest.min_by_key(|host| host.idle[0].0) else {
+                self.config.quota.is_short();
+                return None;
+            };
+            drop(host.idle.remove(0));
+            self.config.quota.place(Side::Hosts, most)
+        });
+        Some(Slot { _own: self.slots.clone(), _place: place? })
+    }
+}
+
+/// A connection's place among those of this engine, and of the process.
+#[derive(Debug)]
+struct Slot {
+    _own: Rc<()>,
+    _place: Counted,
+}
+
+#[cfg(test)]
+impl Slot {
+    fn alone() -> Slot {
+        let place = crate::quota::Quota::default().place(Side::Hosts, 1);
+        Slot { _own: Rc::default(), _place: place.expect("none is open") }
     }
 }
 
@@ -201,6 +224,10 @@
         pool.hosts.values_mut().for_each(|host| {
             host.idle.retain(|(since, connection)| since.elapsed() < keep && connection.is_ready());
         });
+        // Another engine of the process needs connections, and has none of its own to close.
+        if pool.config.quota.was_short() {
+            pool.hosts.values_mut().for_each(|host| drop(host.idle.drain(..host.idle.len().div_ceil(2))));
+        }
     }
 
     fn reload(&self, config: &Rc<Config>) {
--- a/engine/src/lib.rs
+++ b/engine/src/lib.rs
@@ -4,9 +4,11 @@
 //! Its modules in their order; each uses only those before it (`tests/tree.rs`):
 //!
 //! - [`task`], [`meter`], `clock`, `dial`: tasks that end with their owner, what was written, time, connections.
-//! - [`list`], [`extras`], [`config`]: the list of hosts' form, what stations are told, what the engine is told.
+//! - [`list`], [`quota`], [`extras`], [`config`]: the list of hosts' form, connections of the whole process, what
+//!   stations are told, what the engine is told.
 //! - [`protocol`]: the seam to what hosts speak; [`state`] what the engine shows.
 //! - [`calls`], [`station`]: calls on their way, and the subsystems that they pass.
+//! - [`group`]: the seam to other engines of the process, where there are any.
 //! - [`socket`], [`http1`], [`discovery`]: HTTP/1.1 behind the seam, and the watch of the list.
 //! - [`driver`]: events into the module, actions out of it; order, time and the calls.
 #![forbid(unsafe_code)]
@@ -19,10 +21,12 @@
 pub mod discovery;
 pub mod driver;
 pub mod extras;
+pub mod group;
 pub mod http1;
 pub mod list;
 pub mod meter;
 pub mod protocol;
+pub mod quota;
 pub mod socket;
 pub mod state;
 pub mod station;
--- a/engine/src/meter.rs
+++ b/engine/src/meter.rs
@@ -2,6 +2,37 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+
+/// Whether the process knows more of the list than this engine has taken in. Rule 3 (nothing new to a host that drains)
+/// counts from when the process was told: an engine that is behind writes nothing new until it has caught up.
+#[derive(Clone, Debug, Default)]
+pub struct Fresh(Option<Rc<Known>>);
+
+#[derive(Debug)]
+struct Known {
+    told: Arc<AtomicU64>,
+    taken: Cell<u64>,
+}
+
+impl Fresh {
+    /// Of an engine whose process counts in `told` what it was told.
+    pub fn new(told: Arc<AtomicU64>) -> Fresh {
+        Fresh(Some(Rc::new(Known { told, taken: Cell::new(0) })))
+    }
+
+    /// This engine has taken in all up to here.
+    pub fn taken(&self, up_to: u64) {
+        if let Some(known) = &self.0 {
+            known.taken.set(up_to);
+        }
+    }
+
+    fn is_behind(&self) -> bool {
+        self.0.as_ref().is_some_and(|known| known.told.load(Ordering::Acquire) > known.taken.get())
+    }
+}
 
 /// What was written for one attempt. No byte means that no host can have seen it, which is what rule 2 (no effect
 /// twice) rests on: a protocol counts here *every* byte of an attempt that it gives to the system. An attempt that is
@@ -17,9 +48,20 @@
     made: Cell<bool>,
     whole: Cell<bool>,
     revoked: Cell<bool>,
+    fresh: Fresh,
 }
 
 impl Meter {
+    /// Of an engine that others may be ahead of.
+    pub fn new(fresh: Fresh) -> Meter {
+        Meter(Rc::new(Written { fresh, ..Written::default() }))
+    }
+
+    /// Whether the attempt's first byte must wait: the engine has not yet heard all that the process was told.
+    pub fn must_wait(&self) -> bool {
+        self.bytes() == 0 && self.0.fresh.is_behind()
+    }
+
     /// How many bytes were written.
     pub fn bytes(&self) -> usize {
         self.0.bytes.get()
--- a/engine/src/socket.rs
+++ b/engine/src/socket.rs
@@ -90,6 +90,11 @@
 impl Write for Socket {
     fn poll_write(self: Pin<&mut Self>, context: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
         let mut io = self.0.io.borrow_mut();
+        if self.0.meter.borrow().must_wait() {
+            // What the engine is to hear is on its way to it on this very thread.
+            context.waker().wake_by_ref();
+            return Poll::Pending;
+        }
         let open = io.as_mut().filter(|_| !self.0.meter.borrow().is_revoked());
         let Some(io) = open else { return Poll::Ready(Err(io::ErrorKind::NotConnected.into())) };
         let written = Pin::new(io).poll_write(context, bytes);
--- a/engine/src/station.rs
+++ b/engine/src/station.rs
@@ -13,14 +13,15 @@
 //! - A client that has gone is told of to the stations from first to last, until one says that it was its.
 
 use crate::calls::call::{ended, Attempt, Call};
-use crate::calls::{Guest, Outlives, Owner, Reply};
+use crate::calls::{Guest, OpenIds, Outlives, Owner, Reply};
 use crate::clock::Clock;
 use crate::config::Config;
+use crate::group::Group;
 use crate::protocol::{Protocol, Target};
 use crate::Log;
 use nettleworks_policy::{CallId, Event, Micros, Outcome, ServerId};
 use std::any::Any;
-use std::collections::{BTreeMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::rc::Rc;
 use tokio::sync::Notify;
 use tokio::time::Instant;
@@ -116,7 +117,9 @@
     pub(crate) events: VecDeque<Event>,
     pub(crate) calls: BTreeMap<CallId, Call<P>>,
     /// Ids of the calls that are open: no second one may have one of them.
-    pub(crate) open: HashSet<P::Id>,
+    pub(crate) open: OpenIds<P::Id>,
+    /// Other engines that serve as one with this.
+    pub(crate) group: Option<Box<dyn Group<P>>>,
     /// Whose turn it is.
     pub(crate) at: usize,
     /// What stations are to hear, in its order.
@@ -200,7 +203,7 @@
     /// Gives a request its one answer.
     pub fn answer(&mut self, guest: Guest<P>, reply: Reply<P::Answer>) {
         if !guest.id_is_out {
-            self.open.remove(&guest.ask.id);
+            self.open.close(&guest.ask.id, &mut self.group);
         }
         let may_have_run = matches!(reply, Reply::Served(_) | Reply::Failed | Reply::Unsure(_));
         self.tell(guest.number, guest.owner, reply, may_have_run);
@@ -323,7 +326,7 @@
         call.withdraw(id, &mut self.events, |_| true);
         if call.attempts.iter().all(Option::is_none) {
             if let Some(call) = self.calls.remove(&id) {
-                self.open.remove(&call.id);
+                self.open.close(&call.id, &mut self.group);
                 if let Some(at) = call.late {
                     self.told.push_back((at, id, Told::Late(None)));
                 }
--- a/engine/tests/tree.rs
+++ b/engine/tests/tree.rs
@@ -4,16 +4,18 @@
 use std::path::{Path, PathBuf};
 
 /// From the bottom up.
-const ORDER: [&str; 15] = [
+const ORDER: [&str; 17] = [
     "task",
     "meter",
     "clock",
     "dial",
     "list",
+    "quota",
     "extras",
     "config",
     "protocol",
     "state",
+    "group",
     "calls",
     "station",
     "socket",
--- a/keys/src/lib.rs
+++ b/keys/src/lib.rs
@@ -28,6 +28,7 @@
 mod inspect;
 mod linger;
 mod store;
+mod tally;
 
 pub use bounds::{Bounds, Retention};
 pub use inspect::{mask, Filter, Page, Settled, Unsettled, View};
@@ -36,3 +37,4 @@
     Arrival, BadSlot, Cause, Counts, Digest, End, Ended, KeyState, Kind, Known, Left, Micros, Request, Slot,
     Store, Verdict, WaiterId,
 };
+pub use tally::Tally;
--- a/keys/src/linger.rs
+++ b/keys/src/linger.rs
@@ -7,6 +7,7 @@
 
 use crate::store::{Micros, Slot};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::hash::Hash;
 
 /// How many calls may linger.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -28,30 +29,30 @@
 
 /// A call that lingers.
 #[derive(Clone, Debug)]
-struct Call {
-    slot: Slot,
+struct Call<K> {
+    slot: K,
     tenant: Option<u32>,
     /// Where attempts of it were out when it began to linger; no host twice.
     hosts: Vec<u32>,
     until: Micros,
 }
 
-/// The calls that linger, by age.
+/// The calls that linger, by age, under whatever names them.
 #[derive(Clone, Debug)]
-pub struct Lingering {
+pub struct Lingering<K = Slot> {
     bounds: LingerBounds,
     /// In the order in which they began to.
-    calls: BTreeMap<u64, Call>,
+    calls: BTreeMap<u64, Call<K>>,
     next: u64,
-    slots: HashMap<Slot, u64>,
+    slots: HashMap<K, u64>,
     hosts: HashMap<u32, BTreeSet<u64>>,
     tenants: HashMap<Option<u32>, BTreeSet<u64>>,
     due: BTreeSet<(Micros, u64)>,
 }
 
-impl Lingering {
+impl<K: Copy + Eq + Hash> Lingering<K> {
     /// None yet.
-    pub fn new(bounds: LingerBounds) -> Lingering {
+    pub fn new(bounds: LingerBounds) -> Lingering<K> {
         let (calls, next, slots, hosts, tenants, due) = Default::default();
         Lingering { bounds, calls, next, slots, hosts, tenants, due }
     }
@@ -72,14 +73,14 @@
     }
 
     /// Whether this call does.
-    pub fn holds(&self, slot: Slot) -> bool {
+    pub fn holds(&self, slot: K) -> bool {
         self.slots.contains_key(&slot)
     }
 
     /// A call begins to linger, until this moment, with attempts out at these hosts. What comes back no longer does
     /// and is to be called off, oldest first; under a bound of 0 it is this call itself.
     #[must_use = "these calls are to be called off"]
-    pub fn begin(&mut self, slot: Slot, tenant: Option<u32>, hosts: &[u32], until: Micros) -> Vec<Slot> {
+    pub fn begin(&mut self, slot: K, tenant: Option<u32>, hosts: &[u32], until: Micros) -> Vec<K> {
         self.end(slot);
         let order = self.next;
         self.next += 1;
@@ -113,7 +114,7 @@
     }
 
     /// A call no longer lingers: it has ended, or is wanted again. `false`: it did not.
-    pub fn end(&mut self, slot: Slot) -> bool {
+    pub fn end(&mut self, slot: K) -> bool {
         let order = self.slots.get(&slot).copied();
         order.and_then(|order| self.take(order)).is_some()
     }
@@ -124,7 +125,7 @@
     }
 
     /// One that has lingered for long enough now, if there is one: it no longer does, and is to be called off.
-    pub fn due(&mut self, now: Micros) -> Option<Slot> {
+    pub fn due(&mut self, now: Micros) -> Option<K> {
         let &(until, order) = self.due.first()?;
         if until > now {
             return None;
@@ -132,7 +133,7 @@
         self.take(order)
     }
 
-    fn take(&mut self, order: u64) -> Option<Slot> {
+    fn take(&mut self, order: u64) -> Option<K> {
         let call = self.calls.remove(&order)?;
         self.slots.remove(&call.slot);
         self.due.remove(&(call.until, order));
--- a/keys/src/store.rs
+++ b/keys/src/store.rs
@@ -1,12 +1,14 @@
 //! The state machine.
 
 use crate::bounds::Bounds;
+use crate::tally::Tally;
 use siphasher::sip::SipHasher13;
 use siphasher::sip128::{Hasher128, SipHasher24};
 use std::collections::{BTreeSet, HashMap};
 use std::fmt;
 use std::hash::{BuildHasher, Hasher};
 use std::str::FromStr;
+use std::sync::Arc;
 
 /// A moment, in microseconds.
 pub type Micros = u64;
@@ -372,6 +374,8 @@
     waiting: BTreeSet<(Micros, WaiterId, usize)>,
     bytes: usize,
     counts: Counts,
+    /// Where other stores share its bounds.
+    tally: Option<Arc<Tally>>,
 }
 
 /// How many entries whose time is up go with one event: a crowd that ends at once must not hold up the next request.
@@ -394,9 +398,16 @@
             waiting: BTreeSet::new(),
             bytes: 0,
             counts: Counts::default(),
+            tally: None,
         }
     }
 
+    /// An empty store that shares its bounds on keys with others. What can go to make room goes from the store that
+    /// needs it; one that has nothing of the kind refuses, though others may.
+    pub fn sharing(seed: u64, bounds: Bounds, tally: Arc<Tally>) -> Self {
+        Store { tally: Some(tally), ..Store::new(seed, bounds) }
+    }
+
     /// Goes on under other bounds. Nothing is dropped for it: what is over a bound goes as room is needed, and what
     /// is remembered keeps the time that it was given.
     pub fn rebound(&mut self, bounds: Bounds) {
@@ -719,6 +730,7 @@
         let Some(entry) = self.entries[place].take() else { return };
         self.places.remove(&entry.key);
         self.free.push(place);
+        self.tally.iter().for_each(|tally| tally.remove(entry.key.tenant));
         if let State::Answered { answer: Some((_, bytes)), .. } = entry.state {
             self.bytes -= bytes;
         }
@@ -769,6 +781,14 @@
     /// Markers and the like go before whole answers do.
     fn make_room(&mut self, tenant: Option<u32>) -> Result<(), Cause> {
         let first = |spare: &Spare| spare.rest.first().or(spare.answers.first()).map(|&(_, place)| place);
+        if let Some(tally) = self.tally.clone() {
+            while let Err(cause) = tally.add(tenant, &self.bounds) {
+                let own = self.tenants.get(&tenant).and_then(|own| first(&own.spare));
+                let place = if cause == Cause::Tenant { own } else { first(&self.spare) };
+                self.evict(place.ok_or(cause)?);
+            }
+            return Ok(());
+        }
         let own = self.tenants.get(&tenant);
         if own.map_or(0, |own| own.entries) >= self.bounds.entries_a_tenant {
             let place = own.and_then(|own| first(&own.spare)).ok_or(Cause::Tenant)?;
--- a/keys/station/src/lib.rs
+++ b/keys/station/src/lib.rs
@@ -5,22 +5,23 @@
 
 mod config;
 mod operate;
+mod together;
 
 pub use config::{Keys, WithKeys};
 pub use operate::Operate;
+pub use together::{Common, Together};
 
 use nettleworks_engine::calls::{Doubt, Guest, Outlives, Reply};
 use nettleworks_engine::config::Config;
 use nettleworks_engine::protocol::Protocol;
 use nettleworks_engine::station::{Desk, Ended, Station, Step, Taken};
-use nettleworks_keys::{
-    Arrival, Counts, End, KeyState, Kind, Known, Left, Lingering, Request, Slot, Store, WaiterId,
-};
+use nettleworks_keys::{Arrival, Counts, End, KeyState, Kind, Known, Left, Request, Slot, Store, WaiterId};
 use nettleworks_policy::{CallId, ClassId, Micros, Repeat};
 use rustc_hash::FxHashMap;
 use std::any::Any;
 use std::rc::Rc;
 use std::time::Duration;
+use together::Lingerers;
 use tokio::time::Instant;
 
 /// How much later than its own time one that waits with others is told that it is over, where its call does not linger:
@@ -51,7 +52,7 @@
 /// The station.
 pub struct KeyStation<P: Protocol> {
     store: Store<P::Answer>,
-    lingering: Lingering,
+    lingering: Lingerers,
     config: Rc<Keys>,
     waiters: FxHashMap<WaiterId, Waiter<P>>,
     /// The slots of the calls that run.
@@ -63,10 +64,15 @@
 impl<P: Protocol> KeyStation<P> {
     /// The station that a configuration asks for, if it does.
     pub fn new(config: &Config) -> Option<Self> {
-        let keys = config.keys()?;
+        let (keys, together) = (config.keys()?, Together::of(config));
+        let bounds = keys.bounds.clone();
+        let store = match &together {
+            None => Store::new(config.seed, bounds),
+            Some(together) => Store::sharing(config.seed, bounds, together.common.tally.clone()),
+        };
         Some(KeyStation {
-            store: Store::new(config.seed, keys.bounds.clone()),
-            lingering: Lingering::new(keys.lingering),
+            store,
+            lingering: Lingerers::new(keys.lingering, together),
             config: Rc::new(keys.clone()),
             waiters: FxHashMap::default(),
             slots: FxHashMap::default(),
@@ -74,6 +80,15 @@
         })
     }
 
+    /// A call that lingers made room for one of another station that shares its bounds.
+    pub fn called_off(&mut self, desk: &mut Desk<P>, slot: Slot) {
+        // It may have ended by itself, or be wanted again.
+        if self.lingering.end(slot) {
+            self.store.counts_mut().called_off += 1;
+            self.give_up(desk, slot);
+        }
+    }
+
     /// For how long calls of a class may go on when nobody waits for them; `None`: not at all.
     fn linger(&self, class: ClassId) -> Option<Duration> {
         let time = self.config.linger.get(class.0).copied();
--- a/policy/src/balance.rs
+++ b/policy/src/balance.rs
@@ -11,6 +11,8 @@
 use rand_pcg::Pcg32;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
+mod shared;
+
 // Constants. Spans are ratios to the settings' aims or to observed answer times.
 
 /// What a refusal as full leaves of the concurrency.
@@ -249,6 +251,8 @@
     pub fn handle(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
         // A call that comes behind others changes nothing for them; in overload most do.
         let stands = matches!(event, Event::Request { .. }) && !self.hold.is_empty();
+        // Room that has come is used before a call that waited for it is given up.
+        let room = matches!(event, Event::Room { .. });
         match event {
             Event::Start if self.settings.ask => actions.push(Action::Subscribe),
             Event::Members { kind, entries } => self.members(now, kind, &entries),
@@ -299,8 +303,11 @@
             Event::Timer | Event::Start | Event::Probed { .. } => {}
             Event::Request { .. } | Event::Lingers { .. } => {}
         }
+        if room {
+            self.drain_hold(now, actions);
+        }
         self.wake_calls(now, actions);
-        if !stands {
+        if !stands && !room {
             self.drain_hold(now, actions);
         }
         if now >= self.ask_at {
@@ -310,37 +317,6 @@
         self.set_timer(now, actions);
     }
 
-    // What is shared with other balancers of the process.
-
-    /// How many calls wait to go.
-    pub fn held(&self) -> usize {
-        self.hold.len()
-    }
-
-    /// How many calls a server's budget allows here, as a mean; 0 for one that is set aside or not there.
-    pub fn allows(&self, now: Micros, server: ServerId) -> f64 {
-        let place = self.servers.binary_search_by_key(&server, |s| s.id);
-        place.map_or(0.0, |at| self.servers[at].allows(now, &self.settings.rules))
-    }
-
-    /// Whether a trial call is out to a server.
-    pub fn trying(&self, server: ServerId) -> bool {
-        let place = self.servers.binary_search_by_key(&server, |s| s.id);
-        place.is_ok_and(|at| self.servers[at].budget.trial_out)
-    }
-
-    /// The servers to which calls would go if there were room there, or if a trial might go.
-    pub fn short(&self, now: Micros) -> impl Iterator<Item = Short> + '_ {
-        let (rules, longest) = (&self.settings.rules, self.longest_usual());
-        self.servers.iter().filter_map(move |s| {
-            let (_, may_try) = s.room?;
-            let room = s.usable(now, self.served, rules) && s.full(now, rules);
-            let returns = s.budget.steps == 0 && s.budget.trial_ready(now) && s.open(now, self.served, rules);
-            let trial = !may_try && (returns || room && s.tryable(now, longest, rules));
-            (room || trial).then_some(Short { server: s.id, room, trial })
-        })
-    }
-
     // The list.
 
     fn members(&mut self, now: Micros, kind: ListKind, entries: &[Entry]) {
@@ -497,25 +473,6 @@
         server.reported = at;
     }
 
-    /// What another balancer of the process has learned of a server. What this one has learned since holds.
-    fn heard(&mut self, now: Micros, id: ServerId, news: News, age: Micros) {
-        let (first, at) = (self.first_backoff(), now.saturating_sub(age));
-        let Ok(place) = self.servers.binary_search_by_key(&id, |s| s.id) else { return };
-        let server = &mut self.servers[place];
-        let up = server.budget.steps > 0;
-        match news {
-            News::Load(load) if at > server.reported => self.crowded(at, place, load),
-            News::SetAside if up && server.answered < at => {
-                (server.budget.steps, server.strain) = (0, 1.0);
-                server.budget.back_off(now, first);
-            }
-            News::TakenBack if !up => server.budget.trial_served(),
-            News::Grown if up => server.budget.trial_served(),
-            _ => {}
-        }
-        self.count();
-    }
-
     /// What a server's answer, or its absence, teaches.
     fn learn(&mut self, now: Micros, tried: Attempt, outcome: Outcome, took: Micros, actions: &mut Actions) {
         let Attempt { server: id, zone, started, class_id, sent, trial, .. } = tried;
--- a/policy/tests/tree.rs
+++ b/policy/tests/tree.rs
@@ -4,7 +4,7 @@
 
 #[test]
 fn the_module_is_short_and_its_lines_too() {
-    let all = ["src/balance.rs", "src/budget.rs"].map(|name| {
+    let all = ["src/balance.rs", "src/balance/shared.rs", "src/budget.rs"].map(|name| {
         let path = Path::new(env!("CARGO_MANIFEST_DIR")).join(name);
         let text = std::fs::read_to_string(path).expect("the module's source");
         let lines = text.lines().filter(|l| !l.trim().is_empty()).count();
--- a/proxy/src/arguments.rs
+++ b/proxy/src/arguments.rs
@@ -23,6 +23,9 @@
     /// With a store of idempotency keys, as this file says
     #[arg(long, global = true, value_name = "FILE")]
     pub keys: Option<PathBuf>,
+    /// With so many engines, a thread each, that serve as one
+    #[arg(long, value_name = "N", default_value_t = 1, value_parser = clap::value_parser!(u8).range(1..=32))]
+    pub cores: u8,
     #[command(subcommand)]
     pub command: Option<Command>,
 }
--- a/proxy/src/lib.rs
+++ b/proxy/src/lib.rs
@@ -3,6 +3,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod cores;
 pub mod operators;
 pub mod requests;
 pub mod server;
--- a/proxy/src/main.rs
+++ b/proxy/src/main.rs
@@ -7,13 +7,18 @@
 use arguments::{Arguments, Command};
 use clap::Parser;
 use nettleworks::config::Config;
+use nettleworks::cores::{self, End, Spare, Told};
 use nettleworks::server;
 use nettleworks_keys_station::WithKeys;
 use std::io::Write;
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
 use tokio::runtime;
 use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::{mpsc, watch};
 use tokio::task::LocalSet;
 
 fn main() -> ExitCode {
@@ -35,7 +40,11 @@
             return ExitCode::FAILURE;
         }
     };
-    let Arguments { file, keys, command } = arguments;
+    let Arguments { file, keys, cores, command } = arguments;
+    let start = |files: &Files| match cores {
+        0 | 1 => start(files),
+        cores => start_cores(files, cores.into()),
+    };
     let files = |config| Files { config, keys: keys.clone() };
     let done = match (command, file) {
         (Some(Command::Check { file }), _) => check(&files(file)),
@@ -126,3 +135,76 @@
         Ok(())
     })
 }
+
+/// Serves with several engines, a thread each. This thread tells them all of signals, and ends when all have ended.
+fn start_cores(files: &Files, cores: usize) -> Result<(), String> {
+    let runtime = runtime::Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string())?;
+    runtime.block_on(async {
+        let mut terminate = signal(SignalKind::terminate()).map_err(|e| e.to_string())?;
+        let mut hangup = signal(SignalKind::hangup()).map_err(|e| e.to_string())?;
+        let config = files.load()?;
+        let bad = |e: std::io::Error| format!("{}: {e}", config.listen);
+        let listeners = server::bind_all(config.listen, cores).map_err(bad)?;
+        let spare = Spare::of(&listeners).map_err(bad)?;
+        let log = nettleworks_engine::log_to_stderr();
+        for place in &config.unknown {
+            log(&format!("configuration: {place}: unknown key, not used"));
+        }
+        let address = listeners[0].local_addr().map_err(|e| e.to_string())?;
+        let (stop, stopped) = watch::channel(false);
+        let (reloads, reload) = watch::channel(None);
+        let (ended, mut ends) = mpsc::channel(cores);
+        for ((seat, config), listener) in cores::seats(&config, cores).into_iter().zip(listeners) {
+            let (spare, told) = (spare.clone(), Told { stop: stopped.clone(), reload: reload.clone() });
+            let ended = ended.clone();
+            let name = format!("nettleworks-{}", seat.shard());
+            let thread = move || {
+                let shard = seat.shard();
+                let run = async |seat| {
+                    let log = Rc::new(move |line: &str| log_of(shard, line));
+                    cores::serve(seat, config, log, listener, spare, told).await
+                };
+                let how =
+                    cores::run_thread(seat, run).map_or_else(|e| Err(e.to_string()), |(end, _)| Ok(end));
+                // The process may have been told to end by now.
+                let _ = ended.blocking_send((shard, how));
+            };
+            std::thread::Builder::new().name(name).spawn(thread).map_err(|e| e.to_string())?;
+        }
+        drop(ended);
+        log(&format!("serving at {address}"));
+        log(&format!("{cores} engines"));
+        let mut well = 0;
+        let mut out_of_time = std::pin::pin!(async {
+            terminate.recv().await;
+            spare.close();
+            stop.send_replace(true);
+            // Each ends by itself in its time; one that does not answer is not waited for.
+            tokio::time::sleep(server::STOP_DELAY + 2 * server::STOP_MOST + Duration::from_millis(100)).await;
+        });
+        loop {
+            tokio::select! {
+                end = ends.recv() => match end {
+                    Some((_, Ok(End::Well))) => well += 1,
+                    Some((shard, Ok(End::Panicked))) => log(&format!("shard {shard} has ended by a panic")),
+                    Some((shard, Err(reason))) => log(&format!("shard {shard} has not started: {reason}")),
+                    None if well > 0 => return Ok(()),
+                    None => return Err("no shard is left".to_owned()),
+                },
+                () = &mut out_of_time => {
+                    log("not all shards have ended in their time");
+                    return Ok(());
+                }
+                Some(()) = hangup.recv() => match files.load() {
+                    Ok(config) => drop(reloads.send_replace(Some(Arc::new(config)))),
+                    Err(reason) => log(&format!("configuration kept: {}", reason.replace('\n', " "))),
+                },
+            }
+        }
+    })
+}
+
+fn log_of(shard: usize, line: &str) {
+    // One that cannot be written to is no reason to stop serving.
+    let _ = writeln!(std::io::stderr(), "nettleworks: shard {shard}: {line}");
+}
--- a/proxy/src/operators.rs
+++ b/proxy/src/operators.rs
@@ -7,6 +7,7 @@
 //! - `{"op":"show","id":"12-345"}`: one key.
 //! - `{"op":"settle","id":"12-345","as":"ran","why":"…"}`, or `"as":"never-ran"`: settles an unsure key.
 
+use crate::cores::Shards;
 use nettleworks_engine::config::Config;
 use nettleworks_engine::driver::Handle;
 use nettleworks_engine::http1::Http1;
@@ -35,6 +36,8 @@
 const CONNECTIONS_MOST: usize = 4;
 /// How long a connection may say nothing, or not read.
 const SILENCE: Duration = Duration::from_secs(30);
+/// A place of the list within its shard.
+const PLACE_BITS: u32 = 40;
 /// How many places of the store are looked through for one answer: calls wait meanwhile.
 const PLACES: usize = 2_048;
 
@@ -66,12 +69,18 @@
 /// Serves on the socket that the configuration of keys names for as long as what comes back is kept; nothing where it
 /// names none. What stands in the way of it is said in the log, and is no reason not to serve clients.
 pub fn start(driver: &Handle<Http1>) -> Option<Task> {
+    start_for(driver, None)
+}
+
+/// The same for all shards of a process, of which this engine is one. Ids of keys are those of a shard with its number
+/// ahead: `2/12-345`.
+pub fn start_for(driver: &Handle<Http1>, shards: Option<Shards>) -> Option<Task> {
     let path = driver.config().keys()?.socket.clone()?;
     match bind(&path) {
         Ok(listener) => {
             driver.log(&format!("keys: operators at {}", path.display()));
-            let driver = driver.clone();
-            Some(task::spawn(async move { serve(listener, File(path), driver).await }))
+            let all = All { driver: driver.clone(), shards };
+            Some(task::spawn(async move { serve(listener, File(path), all).await }))
         }
         Err(error) => {
             driver.log(&format!("keys: no operators at {}: {error}", path.display()));
@@ -125,28 +134,78 @@
     bound
 }
 
-async fn serve(listener: UnixListener, file: File, driver: Handle<Http1>) {
+/// Where the keys are: with one engine, or with all shards.
+#[derive(Clone)]
+struct All {
+    driver: Handle<Http1>,
+    shards: Option<Shards>,
+}
+
+impl All {
+    fn count(&self) -> usize {
+        self.shards.as_ref().map_or(1, Shards::count)
+    }
+
+    /// Does something where a shard's keys are.
+    async fn at<T: Send + 'static>(
+        &self,
+        shard: usize,
+        act: impl FnOnce(&Handle<Http1>) -> T + Send + 'static,
+    ) -> Result<T, String> {
+        match &self.shards {
+            None => Ok(act(&self.driver)),
+            Some(shards) => {
+                shards.at(shard, act).await.ok_or(format!("shard {shard} does not answer, or has ended"))
+            }
+        }
+    }
+
+    /// A key's id, as it is shown.
+    fn id(&self, shard: usize, slot: Slot) -> String {
+        match self.shards {
+            None => slot.to_string(),
+            Some(_) => format!("{shard}/{slot}"),
+        }
+    }
+
+    /// Which key an id names.
+    fn named(&self, id: &str) -> Result<(usize, Slot), String> {
+        let bad = |error: &dyn std::fmt::Display| format!("{id:?}: {error}");
+        let (shard, slot) = match (&self.shards, id.split_once('/')) {
+            (None, _) => (0, id),
+            (Some(_), Some((shard, slot))) => (shard.parse().map_err(|_| bad(&"not an id"))?, slot),
+            (Some(_), None) => return Err(bad(&"not an id")),
+        };
+        let slot = slot.parse().map_err(|error| bad(&error))?;
+        if shard >= self.count() {
+            return Err(bad(&"no such shard"));
+        }
+        Ok((shard, slot))
+    }
+}
+
+async fn serve(listener: UnixListener, file: File, all: All) {
     let places = Arc::new(Semaphore::new(CONNECTIONS_MOST));
     loop {
         let Ok(place) = places.clone().acquire_owned().await else { return };
         match listener.accept().await {
             Ok((stream, _)) => {
-                let driver = driver.clone();
+                let all = all.clone();
                 tokio::task::spawn_local(async move {
                     // Whoever has gone, or is silent, has no use for more.
-                    let _ = converse(stream, &driver).await;
+                    let _ = converse(stream, &all).await;
                     drop(place);
                 });
             }
             Err(error) => {
-                driver.log(&format!("keys: {}: {error}", file.0.display()));
+                all.driver.log(&format!("keys: {}: {error}", file.0.display()));
                 tokio::time::sleep(Duration::from_millis(100)).await;
             }
         }
     }
 }
 
-async fn converse(stream: UnixStream, driver: &Handle<Http1>) -> io::Result<()> {
+async fn converse(stream: UnixStream, all: &All) -> io::Result<()> {
     let who = stream.peer_cred().map_or("somebody".to_owned(), |peer| format!("uid {}", peer.uid()));
     let (read, mut write) = stream.into_split();
     let mut read = BufReader::new(read);
@@ -159,7 +218,10 @@
             return Ok(());
         }
         let whole = line.ends_with(b"\n");
-        let answer = if whole { answer(driver, &line, &who) } else { Err("the line is too long".to_owned()) };
+        let answer = match whole {
+            true => answer(all, &line, &who).await,
+            false => Err("the line is too long".to_owned()),
+        };
         let answer = match answer {
             Ok(ok) => json!({ "ok": ok }),
             Err(error) => json!({ "error": error }),
@@ -171,10 +233,9 @@
     }
 }
 
-fn answer(driver: &Handle<Http1>, line: &[u8], who: &str) -> Result<Value, String> {
+async fn answer(all: &All, line: &[u8], who: &str) -> Result<Value, String> {
     let request: Request = serde_json::from_slice(line).map_err(|error| error.to_string())?;
-    let config = driver.config();
-    let slot = |id: &str| id.parse::<Slot>().map_err(|error| format!("{id:?}: {error}"));
+    let config = all.driver.config();
     match request {
         Request::List { state, class, tenant, older_ms, key, from } => {
             let place = |what: &str, names: &[String], name: Option<String>| match name {
@@ -195,13 +256,26 @@
                 older: older_ms.saturating_mul(1_000),
                 key: key.map(String::into_bytes),
             };
-            let page = driver.keys_page(&filter, from, PLACES).ok_or("there is no store of keys")?;
-            let keys: Vec<Value> = page.keys.iter().map(|view| shown(&config, view)).collect();
-            Ok(json!({ "keys": keys, "next": page.next }))
+            // Shard by shard; the upper half of a place says which.
+            let (shard, place) = (from >> PLACE_BITS, from & ((1 << PLACE_BITS) - 1));
+            if shard >= all.count() {
+                return Err("there is no such place".to_owned());
+            }
+            let page = all.at(shard, move |driver| driver.keys_page(&filter, place, PLACES)).await?;
+            let page = page.ok_or("there is no store of keys")?;
+            let keys: Vec<Value> =
+                page.keys.iter().map(|view| shown(&config, view, all.id(shard, view.slot))).collect();
+            let next = match page.next {
+                Some(next) => Some((shard << PLACE_BITS) + next),
+                None => Some((shard + 1) << PLACE_BITS).filter(|_| shard + 1 < all.count()),
+            };
+            Ok(json!({ "keys": keys, "next": next }))
         }
         Request::Show { id } => {
-            let view = driver.keys_view(slot(&id)?).ok_or("no such key, or another run of it")?;
-            Ok(shown(&config, &view))
+            let (shard, slot) = all.named(&id)?;
+            let view = all.at(shard, move |driver| driver.keys_view(slot)).await?;
+            let view = view.ok_or("no such key, or another run of it")?;
+            Ok(shown(&config, &view, id))
         }
         Request::Settle { id, verdict, why } => {
             let verdict = match &verdict[..] {
@@ -212,9 +286,11 @@
             if why.trim().is_empty() || why.len() > WHY_MOST {
                 return Err(format!("a reason is needed, of {WHY_MOST} bytes at most"));
             }
-            let settled = driver.keys_settle(slot(&id)?, verdict, who, &why);
+            let (shard, slot) = all.named(&id)?;
+            let who = who.to_owned();
+            let settled = all.at(shard, move |driver| driver.keys_settle(slot, verdict, &who, &why)).await?;
             let settled = settled.ok_or("there is no store of keys")?.map_err(|error| error.to_string())?;
-            let mut before = shown(&config, &settled.before);
+            let mut before = shown(&config, &settled.before, id);
             before["settled_as"] = verdict.state().name().into();
             before["left_ms"] = (settled.until / 1_000).into();
             Ok(before)
@@ -222,10 +298,10 @@
     }
 }
 
-fn shown(config: &Config, view: &View) -> Value {
+fn shown(config: &Config, view: &View, id: String) -> Value {
     let name = |names: &[String], place: u32| names.get(place as usize).cloned();
     json!({
-        "id": view.slot.to_string(),
+        "id": id,
         "key": view.key,
         "class": name(&config.classes, view.class),
         "tenant": view.tenant.and_then(|tenant| name(&config.tenants, tenant)),
--- a/proxy/src/server.rs
+++ b/proxy/src/server.rs
@@ -6,6 +6,7 @@
 use hyper_util::rt::TokioTimer;
 use hyper_util::server::graceful::GracefulShutdown;
 use nettleworks_engine::http1::HEAD_MOST;
+use nettleworks_engine::quota::{Counted, Side};
 use nettleworks_engine::socket::Socket;
 use socket2::{Domain, Protocol, Socket as Socket2, Type};
 use std::cell::Cell;
@@ -17,15 +18,16 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
 use tokio::task::{spawn_local, yield_now, JoinHandle};
 use tokio::time::{interval, sleep, timeout, Instant, MissedTickBehavior};
 
 /// Connections that may wait to be accepted.
 const BACKLOG: i32 = 1_024;
 /// How long new connections are still taken after the order to stop; they come for up to 0.4 s.
-const STOP_DELAY: Duration = Duration::from_millis(500);
+pub const STOP_DELAY: Duration = Duration::from_millis(500);
 /// How long open requests are waited for after that: the longest deadline.
-const STOP_MOST: Duration = Duration::from_secs(3);
+pub const STOP_MOST: Duration = Duration::from_secs(3);
 /// Time for a whole request, however it trickles: from its connection's start, or from its own first byte.
 /// Clients are owed an answer or a close within 3 s.
 pub const WHOLE_TIME: Duration = Duration::from_millis(2_500);
@@ -45,8 +47,24 @@
 /// Listens at an address. A proxy that was killed leaves connections behind there, which must not keep the
 /// next one from starting. It is not yet bound to a runtime.
 pub fn bind(address: SocketAddr) -> io::Result<std::net::TcpListener> {
+    bind_as(address, false)
+}
+
+/// Listens at an address so many times; the system spreads new connections over these (`SO_REUSEPORT`).
+pub fn bind_all(address: SocketAddr, listeners: usize) -> io::Result<Vec<std::net::TcpListener>> {
+    let first = bind_as(address, listeners > 1)?;
+    // Port 0 is any that is free: the others take the same.
+    let address = first.local_addr()?;
+    let others = (1..listeners).map(|_| bind_as(address, true));
+    std::iter::once(Ok(first)).chain(others).collect()
+}
+
+fn bind_as(address: SocketAddr, one_of_many: bool) -> io::Result<std::net::TcpListener> {
     let socket = Socket2::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
     socket.set_reuse_address(true)?;
+    if one_of_many {
+        socket.set_reuse_port(true)?;
+    }
     socket.set_nonblocking(true)?;
     socket.bind(&address.into())?;
     socket.listen(BACKLOG)?;
@@ -61,6 +79,16 @@
 /// Serves until `stop` is done, then goes on for as long as new connections may come, then closes connections
 /// between requests and returns when none is left.
 pub async fn serve(listener: TcpListener, driver: Driver, stop: impl Future<Output = ()>) {
+    serve_also(listener, None, driver, stop).await;
+}
+
+/// The same; connections that others have accepted come by `more`.
+pub async fn serve_also(
+    listener: TcpListener,
+    mut more: Option<mpsc::Receiver<TcpStream>>,
+    driver: Driver,
+    stop: impl Future<Output = ()>,
+) {
     let mut clients =
         Clients { driver, graceful: GracefulShutdown::new(), open: Vec::new(), crowded: Rc::default() };
     let mut stop = pin!(async {
@@ -84,6 +112,7 @@
                     sleep(ACCEPT_PAUSE).await;
                 }
             },
+            accepted = another(&mut more), if room => clients.serve(accepted),
             _ = sweeps.tick() => clients.sweep(),
             () = &mut stop => break,
         }
@@ -104,6 +133,17 @@
     .await;
 }
 
+/// The next connection that somebody else has accepted; none comes where nobody does.
+async fn another(more: &mut Option<mpsc::Receiver<TcpStream>>) -> TcpStream {
+    if let Some(accepted) = more {
+        if let Some(stream) = accepted.recv().await {
+            return stream;
+        }
+        *more = None;
+    }
+    std::future::pending().await
+}
+
 /// What a client's connection is at, and since when.
 #[derive(Clone, Copy, Debug)]
 enum Phase {
@@ -132,6 +172,7 @@
     task: JoinHandle<()>,
     socket: Socket,
     phase: Rc<Cell<Phase>>,
+    _counted: Option<Counted>,
 }
 
 impl Client {
@@ -182,12 +223,14 @@
     /// then the one that has been idle the longest. Clients that keep connections and say nothing must not keep
     /// others out.
     fn make_room(&mut self) -> bool {
-        let most = self.driver.config().connections_to_clients();
-        self.crowded.set(self.open.len() > self.driver.config().crowded_from());
-        if self.open.len() >= most {
+        let config = self.driver.config();
+        let open = || config.quota.open(Side::Clients);
+        let most = config.connections_to_clients();
+        self.crowded.set(open() > config.crowded_from());
+        if open() >= most {
             self.open.retain(|client| !client.task.is_finished());
         }
-        self.open.len() < most || self.evict()
+        open() < most || self.evict()
     }
 
     fn evict(&mut self) -> bool {
@@ -256,6 +299,8 @@
             // A connection that breaks ends its request's waiting, which tells the module.
             let _ = connection.await;
         });
-        self.open.push(Client { task, socket, phase });
+        // It is here: there may be one too many for a moment where others accept too.
+        let counted = self.driver.config().quota.place(Side::Clients, usize::MAX);
+        self.open.push(Client { task, socket, phase, _counted: counted });
     }
 }
--- /dev/null
+++ b/proxy/tests/program_2.rs
@@ -0,0 +1,19 @@
+//! The suite against the program with two engines that serve as one.
+
+mod form {
+    pub use nettleworks_standins::*;
+
+    pub struct Daemon;
+
+    impl Program for Daemon {
+        const PATH: &'static str = env!("CARGO_BIN_EXE_nettleworks");
+        const SCRATCH: &'static str = env!("CARGO_TARGET_TMPDIR");
+        const WORDS: &'static [&'static str] = &["--cores", "2"];
+    }
+
+    pub type Proxy = nettleworks_standins::Proxy<Daemon>;
+}
+
+#[path = "suite/listening.rs"]
+mod listening;
+mod suite;
--- a/shards/src/room.rs
+++ b/shards/src/room.rs
@@ -68,8 +68,8 @@
     }
 
     fn word(self) -> u64 {
-        let flags = u64::from(self.trial) * TRIAL | u64::from(self.dead) * DEAD;
-        flags | (u64::from(self.lease) & LEASE) << 32 | u64::from(self.in_flight)
+        let flags = (u64::from(self.trial) * TRIAL) | (u64::from(self.dead) * DEAD);
+        flags | ((u64::from(self.lease) & LEASE) << 32) | u64::from(self.in_flight)
     }
 
     /// Calls that may be in flight.
@@ -97,7 +97,7 @@
     }
 
     fn word(self) -> u64 {
-        u64::from(self.free as u32) << 32 | u64::from(self.waiting)
+        (u64::from(self.free as u32) << 32) | u64::from(self.waiting)
     }
 }
 
--- a/standins/src/proxy.rs
+++ b/standins/src/proxy.rs
@@ -129,6 +129,8 @@
     const PATH: &'static str;
     /// A folder for its configuration.
     const SCRATCH: &'static str;
+    /// Further words of its command line.
+    const WORDS: &'static [&'static str] = &[];
 }
 
 impl<P: Program> Form for P {
@@ -138,6 +140,7 @@
         let path = PathBuf::from(P::SCRATCH).join(&name);
         std::fs::write(&path, setup.config).expect("written");
         let mut command = Command::new(P::PATH);
+        command.args(P::WORDS);
         let keys = setup.keys.map(|keys| {
             let path = PathBuf::from(P::SCRATCH).join(format!("keys-{name}"));
             std::fs::write(&path, keys).expect("written");
