Give the library several engines: Builder::cores; the store's bounds are the process's

Builder::cores(N) runs N engines behind one handle: calls with a key go to the shard that the key belongs to, others in turn, fronts accept from one listener, state is shown in rounds so that figures of several engines fit together, shutdown is one step. Bounds on keys, bytes of answers and lingering calls count over all stores (keys/src/tally.rs): a store that has nothing to give up claims a key of another's.

The store's 16 tests, bodies unchanged (moved to tests/suite), pass with 1 and with 4 engines; so does the daemon's suite on fleet.serve with 4.

--- a/engine/src/calls/mod.rs
+++ b/engine/src/calls/mod.rs
@@ -128,8 +128,9 @@
         }
     }
 
-    pub fn len(&self) -> usize {
-        self.0.len()
+    /// How many were opened here.
+    pub fn own(&self) -> usize {
+        self.0.values().filter(|own| **own).count()
     }
 }
 
--- a/engine/src/driver/mod.rs
+++ b/engine/src/driver/mod.rs
@@ -226,6 +226,14 @@
         driver.show();
     }
 
+    /// Shows the state to whoever observes it, now.
+    pub fn show(&self) {
+        let driver = self.0.borrow();
+        if let Some(observer) = &driver.observer {
+            observer.show(driver.state());
+        }
+    }
+
     /// The state now.
     pub fn state(&self) -> State {
         self.0.borrow().state()
@@ -283,7 +291,7 @@
             caller.answer(Reply::IdOpen);
             return number;
         }
-        driver.counts.requests += 1;
+        driver.counts.requests += u64::from(own);
         let (request, owner) = (Rc::new(request), Owner::Caller(caller));
         driver.enter(0, Guest { number, ask, request, owner, outlives: None, id_is_out: false });
         drop(driver);
--- a/engine/src/driver/shown.rs
+++ b/engine/src/driver/shown.rs
@@ -49,7 +49,7 @@
             hosts,
             calls: self.desk.calls.len(),
             lingering: self.lingering(),
-            ids: self.desk.open.len(),
+            ids: self.desk.open.own(),
             connections: self.protocol.connections(),
             requests: self.counts.requests,
             attempts: self.counts.attempts,
--- a/keys/src/store.rs
+++ b/keys/src/store.rs
@@ -1,7 +1,7 @@
 //! The state machine.
 
 use crate::bounds::Bounds;
-use crate::tally::Tally;
+use crate::tally::{Claimed, Sharer, Tally};
 use siphasher::sip::SipHasher13;
 use siphasher::sip128::{Hasher128, SipHasher24};
 use std::collections::{BTreeSet, HashMap};
@@ -274,6 +274,37 @@
     pub expired: u64,
 }
 
+impl std::ops::Add for Counts {
+    type Output = Counts;
+
+    /// What two stores have done together.
+    fn add(self, other: Counts) -> Counts {
+        let both = |a: [u64; 3], b: [u64; 3]| [a[0] + b[0], a[1] + b[1], a[2] + b[2]];
+        Counts {
+            firsts: self.firsts + other.firsts,
+            joined: self.joined + other.joined,
+            replayed: self.replayed + other.replayed,
+            unsure: self.unsure + other.unsure,
+            forgotten: self.forgotten + other.forgotten,
+            told_by_hand: self.told_by_hand + other.told_by_hand,
+            lingered: self.lingered + other.lingered,
+            rejoined: self.rejoined + other.rejoined,
+            answered_alone: self.answered_alone + other.answered_alone,
+            called_off: self.called_off + other.called_off,
+            ended_unsure: self.ended_unsure + other.ended_unsure,
+            late: self.late + other.late,
+            settled: self.settled + other.settled,
+            mismatched: self.mismatched + other.mismatched,
+            bad_keys: self.bad_keys + other.bad_keys,
+            shrunk: self.shrunk + other.shrunk,
+            evicted: self.evicted + other.evicted,
+            expired: self.expired + other.expired,
+            passed: both(self.passed, other.passed),
+            refused: both(self.refused, other.refused),
+        }
+    }
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub(crate) struct Key {
     pub(crate) tenant: Option<u32>,
@@ -374,8 +405,21 @@
     waiting: BTreeSet<(Micros, WaiterId, usize)>,
     bytes: usize,
     counts: Counts,
-    /// Where other stores share its bounds.
-    tally: Option<Arc<Tally>>,
+    /// Where other stores share its bounds, and which of them it is.
+    tally: Option<(Sharer, Arc<Tally>)>,
+    /// What others are to give up for this one, and have not been told; one at most a request.
+    claims: Vec<(Sharer, Claimed)>,
+}
+
+impl Spare {
+    fn len(&self) -> usize {
+        self.rest.len() + self.answers.len()
+    }
+}
+
+/// What goes first of what could: markers and the like before whole answers.
+fn first(spare: &Spare) -> Option<usize> {
+    spare.rest.first().or(spare.answers.first()).map(|&(_, place)| place)
 }
 
 /// How many entries whose time is up go with one event: a crowd that ends at once must not hold up the next request.
@@ -399,13 +443,33 @@
             bytes: 0,
             counts: Counts::default(),
             tally: None,
+            claims: Vec::new(),
         }
     }
 
-    /// An empty store that shares its bounds on keys with others. What can go to make room goes from the store that
-    /// needs it; one that has nothing of the kind refuses, though others may.
-    pub fn sharing(seed: u64, bounds: Bounds, tally: Arc<Tally>) -> Self {
-        Store { tally: Some(tally), ..Store::new(seed, bounds) }
+    /// An empty store that shares its bounds on keys and bytes with others, as the one of this number. What can go to
+    /// make room goes from the store that needs it, or else from another ([`Store::claims`]).
+    pub fn sharing(seed: u64, bounds: Bounds, me: Sharer, tally: Arc<Tally>) -> Self {
+        Store { tally: Some((me, tally)), ..Store::new(seed, bounds) }
+    }
+
+    /// What others are to give up, each by [`Store::give_up`]: to be asked after each request, and told.
+    pub fn claims(&mut self) -> Vec<(Sharer, Claimed)> {
+        std::mem::take(&mut self.claims)
+    }
+
+    /// Another store has claimed a key of this one.
+    pub fn give_up(&mut self, claimed: Claimed) {
+        let Some((me, tally)) = &self.tally else { return };
+        tally.unclaim(*me, claimed);
+        let spare = match claimed {
+            None => Some(&self.spare),
+            Some(tenant) => self.tenants.get(&tenant).map(|tenant| &tenant.spare),
+        };
+        // It may have gone by itself.
+        if let Some(place) = spare.and_then(first) {
+            self.evict(place);
+        }
     }
 
     /// Goes on under other bounds. Nothing is dropped for it: what is over a bound goes as room is needed, and what
@@ -712,6 +776,15 @@
         };
         of(&mut tenant.spare);
         of(&mut self.spare);
+        self.tell_spare(place);
+    }
+
+    /// The stores that share its bounds know what could go here.
+    fn tell_spare(&self, place: usize) {
+        let Some((me, tally)) = &self.tally else { return };
+        let Some(entry) = &self.entries[place] else { return };
+        let of_tenant = self.tenants.get(&entry.key.tenant).map_or(0, |tenant| tenant.spare.len());
+        tally.spare(*me, self.spare.len(), entry.key.tenant, of_tenant);
     }
 
     pub(crate) fn unlist(&mut self, place: usize) {
@@ -723,6 +796,7 @@
             spare.answers.remove(&(until, place));
             spare.rest.remove(&(until, place));
         }
+        self.tell_spare(place);
     }
 
     fn remove(&mut self, place: usize) {
@@ -730,9 +804,10 @@
         let Some(entry) = self.entries[place].take() else { return };
         self.places.remove(&entry.key);
         self.free.push(place);
-        self.tally.iter().for_each(|tally| tally.remove(entry.key.tenant));
+        self.tally.iter().for_each(|(_, tally)| tally.remove(entry.key.tenant));
         if let State::Answered { answer: Some((_, bytes)), .. } = entry.state {
             self.bytes -= bytes;
+            self.tally.iter().for_each(|(_, tally)| tally.remove_bytes(bytes));
         }
         if let Some(tenant) = self.tenants.get_mut(&entry.key.tenant) {
             tenant.entries -= 1;
@@ -759,6 +834,7 @@
         if let Some(Entry { state: State::Answered { answer, .. }, .. }) = &mut self.entries[place] {
             if let Some((_, bytes)) = answer.take() {
                 self.bytes -= bytes;
+                self.tally.iter().for_each(|(_, tally)| tally.remove_bytes(bytes));
                 self.counts.shrunk += 1;
             }
         }
@@ -770,7 +846,10 @@
         if bytes > self.bounds.answer_bytes {
             return false;
         }
-        while self.bytes + bytes > self.bounds.answer_bytes {
+        while !match &self.tally {
+            Some((_, tally)) => tally.add_bytes(bytes, self.bounds.answer_bytes),
+            None => self.bytes + bytes <= self.bounds.answer_bytes,
+        } {
             let Some(&(_, place)) = self.spare.answers.first() else { return false };
             self.shrink(place);
         }
@@ -780,12 +859,14 @@
     /// Room for one more key of a tenant: what can go of its own, where it has as many as it may; else of anybody's.
     /// Markers and the like go before whole answers do.
     fn make_room(&mut self, tenant: Option<u32>) -> Result<(), Cause> {
-        let first = |spare: &Spare| spare.rest.first().or(spare.answers.first()).map(|&(_, place)| place);
-        if let Some(tally) = self.tally.clone() {
+        if let Some((me, tally)) = self.tally.clone() {
             while let Err(cause) = tally.add(tenant, &self.bounds) {
                 let own = self.tenants.get(&tenant).and_then(|own| first(&own.spare));
                 let place = if cause == Cause::Tenant { own } else { first(&self.spare) };
-                self.evict(place.ok_or(cause)?);
+                match place {
+                    Some(place) => self.evict(place),
+                    None => self.claims.push(tally.claim(me, cause, tenant).ok_or(cause)?),
+                }
             }
             return Ok(());
         }
--- a/keys/station/src/config.rs
+++ b/keys/station/src/config.rs
@@ -102,13 +102,6 @@
 }
 
 impl Keys {
-    /// The part of one of so many stores that serve as one. Keys are spread over them evenly, so each may keep its part
-    /// of the answers; bounds on keys and on calls that linger are kept together ([`crate::Together`]).
-    pub fn part(&self, stores: usize) -> Keys {
-        let answer_bytes = self.bounds.answer_bytes / stores.max(1);
-        Keys { bounds: Bounds { answer_bytes, ..self.bounds.clone() }, ..self.clone() }
-    }
-
     /// The longest time for which a key is remembered.
     pub fn longest(&self) -> Duration {
         let times = self.bounds.retention.iter().map(|retention| retention.answered.max(retention.unsure));
--- a/keys/station/src/lib.rs
+++ b/keys/station/src/lib.rs
@@ -9,7 +9,7 @@
 
 pub use config::{Keys, WithKeys};
 pub use operate::Operate;
-pub use together::{Common, Together};
+pub use together::{Common, Together, Told};
 
 use nettleworks_engine::calls::{Doubt, Guest, Outlives, Reply};
 use nettleworks_engine::config::Config;
@@ -68,7 +68,7 @@
         let bounds = keys.bounds.clone();
         let store = match &together {
             None => Store::new(config.seed, bounds),
-            Some(together) => Store::sharing(config.seed, bounds, together.common.tally.clone()),
+            Some(together) => Store::sharing(config.seed, bounds, together.me, together.common.tally.clone()),
         };
         Some(KeyStation {
             store,
@@ -80,12 +80,16 @@
         })
     }
 
-    /// A call that lingers made room for one of another station that shares its bounds.
-    pub fn called_off(&mut self, desk: &mut Desk<P>, slot: Slot) {
-        // It may have ended by itself, or be wanted again.
-        if self.lingering.end(slot) {
-            self.store.counts_mut().called_off += 1;
-            self.give_up(desk, slot);
+    /// Another station that shares its bounds needs room.
+    pub fn told(&mut self, desk: &mut Desk<P>, told: Told) {
+        match told {
+            Told::GiveUp(claimed) => self.store.give_up(claimed),
+            // It may have ended by itself, or be wanted again.
+            Told::CallOff(slot) if self.lingering.end(slot) => {
+                self.store.counts_mut().called_off += 1;
+                self.give_up(desk, slot);
+            }
+            Told::CallOff(_) => {}
         }
     }
 
@@ -242,7 +246,9 @@
             key,
             digest: self.store.digest(&P::identity(guest.request())),
         };
-        let reply = match self.store.arrive(desk.now(), &held, number.0, desk.at(at)) {
+        let arrival = self.store.arrive(desk.now(), &held, number.0, desk.at(at));
+        self.lingering.claim(self.store.claims());
+        let reply = match arrival {
             Arrival::First(slot) => {
                 let (taken, goes_on) = desk.take(guest, self.outlives(desk, class, deadline));
                 self.slots.insert(number, slot);
--- a/keys/station/src/together.rs
+++ b/keys/station/src/together.rs
@@ -2,26 +2,35 @@
 
 use nettleworks_engine::config::Config;
 use nettleworks_engine::extras::Extra;
-use nettleworks_keys::{LingerBounds, Lingering, Slot, Tally};
+use nettleworks_keys::{Claimed, LingerBounds, Lingering, Slot, Tally};
 use std::fmt;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-/// Tells the station of a shard that a call of it lingers no more, and is to be called off.
-type CallOff = Box<dyn Fn(usize, Slot) + Send + Sync>;
+/// What a station is told by another, by [`crate::KeyStation::told`].
+#[derive(Clone, Copy, Debug)]
+pub enum Told {
+    /// A call of it lingers no more, and is to be called off.
+    CallOff(Slot),
+    /// A key of it is to make room.
+    GiveUp(Claimed),
+}
+
+/// Tells the station of a shard.
+type Tell = Box<dyn Fn(usize, Told) + Send + Sync>;
 
 /// What the stations of all shards share.
 pub struct Common {
     pub(crate) tally: Arc<Tally>,
     lingering: Mutex<Lingering<(usize, Slot)>>,
-    call_off: CallOff,
+    tell: Tell,
 }
 
 impl Common {
-    /// For stations of which each is told by `call_off` when a call of its own lingers no more
-    /// ([`crate::KeyStation::called_off`]). It is called on the thread of another.
-    pub fn new(call_off: impl Fn(usize, Slot) + Send + Sync + 'static) -> Arc<Common> {
+    /// For stations that are told by `tell`, which is called on the thread of another. What is told at a time is bounded
+    /// by what lingers and by what stores hold.
+    pub fn new(tell: impl Fn(usize, Told) + Send + Sync + 'static) -> Arc<Common> {
         let lingering = Mutex::new(Lingering::new(LingerBounds::default()));
-        Arc::new(Common { tally: Arc::default(), lingering, call_off: Box::new(call_off) })
+        Arc::new(Common { tally: Arc::default(), lingering, tell: Box::new(tell) })
     }
 
     /// Whole whoever panicked: what is under it changes in single steps.
@@ -87,7 +96,7 @@
             let over = common.lingering().begin((*me, slot), tenant, hosts, until);
             for (shard, slot) in over {
                 if shard != *me {
-                    (common.call_off)(shard, slot);
+                    (common.tell)(shard, Told::CallOff(slot));
                 } else if self.own.end(slot) {
                     off.push(slot);
                 }
@@ -96,6 +105,13 @@
         off
     }
 
+    /// What a store of another shard is to give up.
+    pub fn claim(&self, claims: Vec<(usize, Claimed)>) {
+        for (shard, claimed) in claims {
+            self.together.iter().for_each(|together| (together.common.tell)(shard, Told::GiveUp(claimed)));
+        }
+    }
+
     /// As [`Lingering::end`].
     pub fn end(&mut self, slot: Slot) -> bool {
         let ended = self.own.end(slot);
--- a/library/src/builder.rs
+++ b/library/src/builder.rs
@@ -3,6 +3,7 @@
 
 use crate::error::StartError;
 use crate::fleet::Fleet;
+use nettleworks_cores::hub::SHARDS_MOST;
 use nettleworks_engine::config::Config;
 use nettleworks_keys_station::WithKeys;
 use serde_json::{json, Value};
@@ -29,6 +30,7 @@
     config: Result<Value, StartError>,
     calls: Option<usize>,
     keys: Option<String>,
+    engines: usize,
     log: Box<dyn Fn(&str) + Send>,
 }
 
@@ -43,7 +45,7 @@
                 "invariants": {"cold_from": 0.3, "cold_us": 10_000_000, "ask_every_us": 5_000_000}
             }
         });
-        Builder { config: Ok(config), calls: None, keys: None, log: Box::new(|_| ()) }
+        Builder { config: Ok(config), calls: None, keys: None, engines: 1, log: Box::new(|_| ()) }
     }
 }
 
@@ -137,7 +139,13 @@
         self
     }
 
-    /// Takes the lines of this fleet's log, on its own thread: it must not block.
+    /// Serves with so many engines, a thread each, that serve as one (`docs/operating-cores.md`); the default is 1.
+    pub fn cores(mut self, engines: usize) -> Self {
+        self.engines = engines;
+        self
+    }
+
+    /// Takes the lines of this fleet's log, on its own threads, one at a time: it must not block.
     pub fn log(mut self, log: impl Fn(&str) + Send + 'static) -> Self {
         self.log = Box::new(log);
         self
@@ -154,6 +162,9 @@
             config = config.with_keys(keys).map_err(StartError::Configuration)?;
         }
         let calls = self.calls.or(config.calls).unwrap_or(config.sockets / 3);
-        Fleet::start(config, calls, self.log)
+        if !(1..=SHARDS_MOST).contains(&self.engines) {
+            return Err(StartError::Configuration(format!("{} cores: 1 to {SHARDS_MOST}", self.engines)));
+        }
+        Fleet::start(config, calls, self.engines, self.log)
     }
 }
--- a/library/src/fleet.rs
+++ b/library/src/fleet.rs
@@ -7,6 +7,7 @@
 use crate::thread::{self, Command, Ended, Ticket};
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Request, Response};
+use nettleworks::cores::Shards;
 use nettleworks::requests;
 use nettleworks_engine::calls::{Ask, Caller, Reply};
 use nettleworks_engine::config::Config;
@@ -19,7 +20,7 @@
 use std::net::TcpListener;
 use std::path::Path;
 use std::pin::Pin;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::task::{Context, Poll};
 use std::time::Duration;
@@ -38,7 +39,11 @@
 pub struct Fleet(Arc<Inner>);
 
 struct Inner {
-    commands: mpsc::UnboundedSender<Command>,
+    /// Where each engine takes its commands.
+    shards: Vec<mpsc::UnboundedSender<Command>>,
+    peers: Option<Shards>,
+    /// Which takes the next call without a key.
+    turn: AtomicUsize,
     config: Config,
     state: watch::Receiver<State>,
     ended: Ended,
@@ -61,17 +66,20 @@
     pub(crate) fn start(
         config: Config,
         calls: usize,
+        engines: usize,
         log: Box<dyn Fn(&str) + Send>,
     ) -> Result<Fleet, StartError> {
         if !(1..=Semaphore::MAX_PERMITS).contains(&calls) {
             return Err(StartError::Configuration(format!("{calls} open calls are too few or too many")));
         }
-        let started = thread::start(config.clone(), log)?;
+        let started = thread::start(config.clone(), engines, log)?;
         // Ids must differ between the processes of a fleet, and after a restart.
         let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default();
         let first = mix(config.seed ^ mix(now.as_nanos() as u64) ^ u64::from(std::process::id()));
         Ok(Fleet(Arc::new(Inner {
-            commands: started.commands,
+            shards: started.shards,
+            peers: started.peers,
+            turn: AtomicUsize::new(0),
             config,
             state: started.state,
             ended: started.ended,
@@ -176,9 +184,31 @@
         let (sender, reply) = oneshot::channel();
         let caller = Caller { reply: sender, place: Some(place) };
         let ticket = Ticket::default();
-        let command = Command::Call { ask, forward, caller, ticket: ticket.clone() };
-        self.0.commands.send(command).map_err(|_| Error::Closed)?;
-        Ok(Call { fleet: self.clone(), reply: Some(reply), ticket })
+        let first = self.shard_for(&ask);
+        let mut command = Command::Call { ask, forward, caller, ticket: ticket.clone() };
+        let all = self.0.shards.len();
+        for shard in (0..all).map(|step| (first + step) % all) {
+            // One that has ended takes nothing; another may.
+            match self.0.shards[shard].send(command) {
+                Ok(()) => return Ok(Call { fleet: self.clone(), shard, reply: Some(reply), ticket }),
+                Err(mpsc::error::SendError(back)) => command = back,
+            }
+        }
+        Err(Error::Closed)
+    }
+
+    /// Which engine is to take a call: the one that its key belongs to, else each in turn; not one that does not answer.
+    fn shard_for(&self, ask: &Ask<HeaderValue>) -> usize {
+        let Some(peers) = &self.0.peers else { return 0 };
+        let all = self.0.shards.len();
+        let next = || self.0.turn.fetch_add(1, Ordering::Relaxed) % all;
+        let first = peers.owner(ask).unwrap_or_else(next);
+        (0..all).map(|step| (first + step) % all).find(|&shard| peers.answers(shard)).unwrap_or(first)
+    }
+
+    /// Tells all engines; whether any has heard it.
+    fn tell(&self, command: impl Fn() -> Command) -> bool {
+        self.0.shards.iter().filter(|shard| shard.send(command()).is_ok()).count() > 0
     }
 
     /// Serves clients on a listener as the daemon does, on the engine's thread, until the returned handle stops it or
@@ -189,11 +219,21 @@
     pub fn serve(&self, listener: impl IntoStd) -> io::Result<Serving> {
         let listener = listener.into_std()?;
         listener.set_nonblocking(true)?;
-        let (stop, stopped) = oneshot::channel();
-        let (done, is_done) = oneshot::channel();
-        let command = Command::Serve { listener, stop: stopped, done };
-        self.0.commands.send(command).map_err(|_| io::Error::other(Error::Closed))?;
-        Ok(Serving { _fleet: self.clone(), stop: Some(stop), done: is_done })
+        let (mut stops, mut ends) = (Vec::new(), Vec::new());
+        // All accept from the one: whoever is free does.
+        for shard in &self.0.shards {
+            let (stop, stopped) = oneshot::channel();
+            let (done, is_done) = oneshot::channel();
+            let command = Command::Serve { listener: listener.try_clone()?, stop: stopped, done };
+            if shard.send(command).is_ok() {
+                stops.push(stop);
+                ends.push(is_done);
+            }
+        }
+        if ends.is_empty() {
+            return Err(io::Error::other(Error::Closed));
+        }
+        Ok(Serving { _fleet: self.clone(), stops, ends, failed: None })
     }
 
     /// What the engine shows of itself; it changes with the list of hosts, and once a second. It costs the engine a
@@ -207,9 +247,20 @@
     /// # Errors
     /// The fleet has ended.
     pub async fn is_ready(&self) -> Result<bool, Error> {
-        let (sender, answer) = oneshot::channel();
-        self.0.commands.send(Command::Ready(sender)).map_err(|_| Error::Closed)?;
-        answer.await.map_err(|_| Error::Closed)
+        let (mut ready, mut any) = (true, false);
+        for shard in &self.0.shards {
+            let (sender, answer) = oneshot::channel();
+            if shard.send(Command::Ready(sender)).is_ok() {
+                if let Ok(one) = answer.await {
+                    (ready, any) = (ready && one, true);
+                }
+            }
+        }
+        if any {
+            Ok(ready)
+        } else {
+            Err(Error::Closed)
+        }
     }
 
     /// Waits until a list of hosts is in hand. Calls made before that wait or are refused by the module's rules.
@@ -227,9 +278,14 @@
     /// # Errors
     /// A configuration that the daemon would not take, which changes nothing; or the fleet has ended.
     pub fn reload(&self, text: &str) -> Result<(), StartError> {
-        let config = Config::parse(text).map_err(StartError::Configuration)?;
-        let ended = |_| StartError::Configuration(Error::Closed.to_string());
-        self.0.commands.send(Command::Reload(Box::new(config))).map_err(ended)
+        self.reload_as(Config::parse(text).map_err(StartError::Configuration)?)
+    }
+
+    fn reload_as(&self, config: Config) -> Result<(), StartError> {
+        match self.tell(|| Command::Reload(Box::new(config.clone()))) {
+            true => Ok(()),
+            false => Err(StartError::Configuration(Error::Closed.to_string())),
+        }
     }
 
     /// As [`Fleet::reload`], with other bounds and retentions for the store of keys, which keeps what it holds.
@@ -238,9 +294,7 @@
     /// As there.
     pub fn reload_with_keys(&self, text: &str, keys: &str) -> Result<(), StartError> {
         let config = Config::parse(text).and_then(|config| config.with_keys(keys));
-        let config = config.map_err(StartError::Configuration)?;
-        let ended = |_| StartError::Configuration(Error::Closed.to_string());
-        self.0.commands.send(Command::Reload(Box::new(config))).map_err(ended)
+        self.reload_as(config.map_err(StartError::Configuration)?)
     }
 
     /// As [`Fleet::reload`], from a file.
@@ -262,7 +316,7 @@
     pub async fn shutdown(&self, deadline: Duration) -> Result<(), Unfinished> {
         self.0.places.close();
         // One that has ended is shut down.
-        let _ = self.0.commands.send(Command::Shutdown(deadline));
+        self.tell(|| Command::Shutdown(deadline));
         let mut ended = self.0.ended.clone();
         let how = ended.wait_for(Option::is_some).await.ok().and_then(|how| *how);
         // A thread that has ended without saying how has dropped all that was open.
@@ -304,6 +358,8 @@
 #[derive(Debug)]
 pub struct Call {
     fleet: Fleet,
+    /// Which engine has it.
+    shard: usize,
     /// `None`: it has been answered.
     reply: Option<oneshot::Receiver<Reply<Response<Bytes>>>>,
     ticket: Ticket,
@@ -344,7 +400,7 @@
             // The queue must hold no place for a call that is over: its receiver goes first.
             self.reply = None;
             // An engine that has ended has no use for it.
-            let _ = self.fleet.0.commands.send(Command::Gone(self.ticket.clone()));
+            let _ = self.fleet.0.shards[self.shard].send(Command::Gone(self.ticket.clone()));
         }
     }
 }
@@ -354,15 +410,16 @@
 #[derive(Debug)]
 pub struct Serving {
     _fleet: Fleet,
-    stop: Option<oneshot::Sender<()>>,
-    done: oneshot::Receiver<io::Result<()>>,
+    stops: Vec<oneshot::Sender<()>>,
+    ends: Vec<oneshot::Receiver<io::Result<()>>>,
+    failed: Option<io::Error>,
 }
 
 impl Serving {
     /// Stops it as SIGTERM stops the daemon: new connections are taken for half a second yet, then connections close
     /// between requests, and after 3 s more the rest.
     pub fn stop(&mut self) {
-        self.stop = None;
+        self.stops.clear();
     }
 }
 
@@ -370,7 +427,18 @@
     type Output = io::Result<()>;
 
     fn poll(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Self::Output> {
-        // Dropped with the fleet, it has ended too.
-        Pin::new(&mut self.done).poll(context).map(|done| done.unwrap_or(Ok(())))
+        let Serving { ends, failed, .. } = &mut *self;
+        ends.retain_mut(|end| match Pin::new(end).poll(context) {
+            // Dropped with the fleet, it has ended too.
+            Poll::Ready(done) => {
+                *failed = failed.take().or(done.unwrap_or(Ok(())).err());
+                false
+            }
+            Poll::Pending => true,
+        });
+        match ends.is_empty() {
+            true => Poll::Ready(failed.take().map_or(Ok(()), Err)),
+            false => Poll::Pending,
+        }
     }
 }
--- a/library/src/thread.rs
+++ b/library/src/thread.rs
@@ -1,21 +1,24 @@
-//! The engine's thread: takes commands in, in their order, and ends when all is answered.
+//! The engines' threads: each takes commands in, in their order, and ends when all is answered.
 
 use crate::error::{StartError, Unfinished};
-use crate::state::{Shown, State};
+use crate::state::{Combined, Shown, State};
 use bytes::Bytes;
 use http::HeaderValue;
 use http::Response;
+use nettleworks::cores::{self, Shards};
 use nettleworks::server;
+use nettleworks_cores::Seat;
 use nettleworks_engine::calls::{Ask, Caller};
 use nettleworks_engine::config::Config;
 use nettleworks_engine::driver::Handle;
 use nettleworks_engine::http1::{Forward, Http1};
+use nettleworks_engine::Log;
 use nettleworks_policy::CallId;
 use std::io;
 use std::net::TcpListener;
 use std::rc::Rc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::task::{JoinSet, LocalSet};
@@ -52,50 +55,160 @@
 /// How the engine has ended; `None` while it runs.
 pub(crate) type Ended = watch::Receiver<Option<Result<(), Unfinished>>>;
 
-/// What the application holds of the engine.
+/// What the application holds of the engines.
 pub(crate) struct Started {
-    pub commands: mpsc::UnboundedSender<Command>,
+    /// Where each takes its commands.
+    pub shards: Vec<mpsc::UnboundedSender<Command>>,
+    /// All of them, where there are several.
+    pub peers: Option<Shards>,
     pub state: watch::Receiver<State>,
     pub ended: Ended,
 }
 
-/// Starts the engine on a thread of its own, and returns when it runs.
-pub(crate) fn start(config: Config, log: Box<dyn Fn(&str) + Send>) -> Result<Started, StartError> {
-    let (commands, queue) = mpsc::unbounded_channel();
+/// Takes the lines of all engines' log.
+type Lines = Box<dyn Fn(&str) + Send>;
+
+/// What the engines tell the application together.
+struct Together {
+    shown: Arc<Combined>,
+    ends: Mutex<Vec<Option<Result<(), Unfinished>>>>,
+    ended: watch::Sender<Option<Result<(), Unfinished>>>,
+}
+
+impl Together {
+    /// One has ended so; the fleet has when all have.
+    fn end(&self, me: usize, how: Result<(), Unfinished>) {
+        let mut ends = self.ends.lock().unwrap_or_else(PoisonError::into_inner);
+        ends[me] = Some(how);
+        let calls: usize = ends.iter().flatten().filter_map(|how| how.err()).map(|left| left.calls).sum();
+        if ends.iter().all(Option::is_some) {
+            self.ended.send_replace(Some(if calls == 0 { Ok(()) } else { Err(Unfinished { calls }) }));
+        }
+    }
+}
+
+/// Says how an engine has ended when its thread does, if nothing else has.
+struct End(Arc<Together>, usize);
+
+impl Drop for End {
+    fn drop(&mut self) {
+        let ended = self.0.ends.lock().unwrap_or_else(PoisonError::into_inner)[self.1].is_some();
+        if !ended {
+            self.0.end(self.1, Ok(()));
+        }
+    }
+}
+
+/// Starts so many engines on threads of their own, and returns when they run.
+pub(crate) fn start(config: Config, engines: usize, log: Lines) -> Result<Started, StartError> {
     let (ended, has_ended) = watch::channel(None);
-    let (up, is_up) = std::sync::mpsc::sync_channel(1);
-    let thread = move || {
-        let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
-            Ok(runtime) => runtime,
-            Err(error) => return drop(up.send(Err(error))),
+    let (shown, state) = watch::channel(State::default());
+    let log = Arc::new(Mutex::new(log));
+    let mut shards = Vec::new();
+    let parts: Vec<(Option<Seat<Http1>>, Config)> = match engines {
+        1 => vec![(None, config)],
+        _ => cores::seats(&config, engines).into_iter().map(|(seat, part)| (Some(seat), part)).collect(),
+    };
+    let peers = parts.first().and_then(|(seat, _)| seat.as_ref()).map(Seat::peers);
+    let shown = Arc::new(Combined::new(engines, peers.clone(), shown));
+    let together = Arc::new(Together { shown, ends: Mutex::new(vec![None; engines]), ended });
+    let mut started = Vec::new();
+    for (me, (seat, config)) in parts.into_iter().enumerate() {
+        let (commands, queue) = mpsc::unbounded_channel();
+        shards.push(commands);
+        let (up, is_up) = std::sync::mpsc::sync_channel(1);
+        started.push(is_up);
+        let (log, together) = (log.clone(), together.clone());
+        let log = move |line: &str| {
+            // Whoever takes the lines may panic: the next line is his all the same.
+            let log = log.lock().unwrap_or_else(PoisonError::into_inner);
+            match engines {
+                1 => log(line),
+                _ => log(&format!("shard {me}: {line}")),
+            }
         };
-        let local = LocalSet::new();
-        let how = local.block_on(&runtime, async {
-            let config = Rc::new(config);
-            let stations = nettleworks::stations(&config);
-            let log = Rc::new(move |line: &str| log(line));
-            let driver = Handle::start(config.clone(), Http1::new(&config), stations, log);
-            let (shown, state) = watch::channel(State::default());
-            driver.observe(Shown(shown));
-            // Whoever starts it waits for this, and is there.
-            let _ = up.send(Ok(state));
-            let _operators = nettleworks::operators::start(&driver);
-            run(driver, queue).await
-        });
-        // Before its end is told: what still holds descriptors goes first.
-        drop(local);
-        drop(runtime);
-        ended.send_replace(Some(how));
+        let name = if engines == 1 { "nettleworks".to_owned() } else { format!("nettleworks-{me}") };
+        let thread = move || engine(me, seat, config, Rc::new(log), queue, &together, &up);
+        std::thread::Builder::new().name(name).spawn(thread).map_err(StartError::System)?;
+    }
+    for is_up in started {
+        match is_up.recv() {
+            Ok(Ok(())) => {}
+            Ok(Err(error)) => return Err(StartError::System(error)),
+            Err(_) => {
+                return Err(StartError::System(io::Error::other("an engine's thread ended at its start")))
+            }
+        }
+    }
+    Ok(Started { shards, peers, state, ended: has_ended })
+}
+
+/// Runs one engine on the thread that this is called on.
+fn engine(
+    me: usize,
+    seat: Option<Seat<Http1>>,
+    config: Config,
+    log: Log,
+    queue: mpsc::UnboundedReceiver<Command>,
+    together: &Arc<Together>,
+    up: &std::sync::mpsc::SyncSender<io::Result<()>>,
+) {
+    let end = End(together.clone(), me);
+    let begin = |driver: &Handle<Http1>| {
+        driver.observe(Shown { all: together.shown.clone(), me });
+        // Whoever starts it waits for this, and is there.
+        let _ = up.send(Ok(()));
+    };
+    let how = match seat {
+        None => {
+            let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
+                Ok(runtime) => runtime,
+                Err(error) => return drop(up.send(Err(error))),
+            };
+            let local = LocalSet::new();
+            let how = local.block_on(&runtime, async {
+                let config = Rc::new(config);
+                let stations = nettleworks::stations(&config);
+                let driver = Handle::start(config.clone(), Http1::new(&config), stations, log);
+                begin(&driver);
+                let _operators = nettleworks::operators::start(&driver);
+                run(driver, queue, None).await
+            });
+            // Before its end is told: what still holds descriptors goes first.
+            drop(local);
+            drop(runtime);
+            Some(how)
+        }
+        Some(seat) => {
+            let ran = cores::run_thread(seat, async |seat| {
+                let shared = cores::start(seat, config, log);
+                let (driver, peers) = (shared.driver.clone(), shared.peers.clone());
+                begin(&driver);
+                // One socket for all.
+                let _operators =
+                    (me == 0).then(|| nettleworks::operators::start_for(&driver, Some(peers.clone())));
+                tokio::select! {
+                    how = run(driver, queue, Some((peers, me))) => Some(how),
+                    () = shared.serve() => None,
+                }
+            });
+            match ran {
+                Ok((_, how)) => how,
+                Err(error) => return drop(up.send(Err(error))),
+            }
+        }
     };
-    std::thread::Builder::new().name("nettleworks".to_owned()).spawn(thread).map_err(StartError::System)?;
-    match is_up.recv() {
-        Ok(Ok(state)) => Ok(Started { commands, state, ended: has_ended }),
-        Ok(Err(error)) => Err(StartError::System(error)),
-        Err(_) => Err(StartError::System(io::Error::other("the engine's thread ended at its start"))),
+    if let Some(how) = how {
+        together.end(me, how);
     }
+    drop(end);
 }
 
-async fn run(driver: Handle<Http1>, mut queue: mpsc::UnboundedReceiver<Command>) -> Result<(), Unfinished> {
+async fn run(
+    driver: Handle<Http1>,
+    mut queue: mpsc::UnboundedReceiver<Command>,
+    others: Option<(Shards, usize)>,
+) -> Result<(), Unfinished> {
     let (stop_fronts, stopped) = watch::channel(false);
     let mut fronts = JoinSet::new();
     let mut batch = Vec::with_capacity(BATCH);
@@ -110,7 +223,7 @@
                 time = most;
                 break 'commands;
             }
-            carry_out(&driver, command, &mut fronts, &stopped);
+            carry_out(&driver, command, &mut fronts, &stopped, others.as_ref());
         }
         // What has ended is not kept.
         while fronts.try_join_next().is_some() {}
@@ -125,7 +238,7 @@
             loop {
                 while let Ok(command) = queue.try_recv() {
                     if let Command::Gone(_) = command {
-                        carry_out(&driver, command, &mut JoinSet::new(), &stopped);
+                        carry_out(&driver, command, &mut JoinSet::new(), &stopped, None);
                     }
                 }
                 // Those that nobody waits for may end too, but nobody is told of them.
@@ -136,10 +249,15 @@
             }
         };
         let fronts_stopped = async { while fronts.join_next().await.is_some() {} };
-        tokio::join!(all_answered, tokio::time::timeout(FRONT_STOP, fronts_stopped))
+        // What a front has not closed in its time is closed with it.
+        let _ = tokio::join!(all_answered, tokio::time::timeout(FRONT_STOP, fronts_stopped));
+        if let Some((peers, me)) = &others {
+            // Until none has anything open, another may need what this one knows.
+            peers.done(*me).await;
+        }
     };
     match tokio::time::timeout_at(until, finished).await {
-        Ok(_) => Ok(()),
+        Ok(()) => Ok(()),
         Err(_) => match driver.waiting() {
             0 => Ok(()),
             calls => Err(Unfinished { calls }),
@@ -152,6 +270,7 @@
     command: Command,
     fronts: &mut JoinSet<()>,
     stopped: &watch::Receiver<bool>,
+    others: Option<&(Shards, usize)>,
 ) {
     match command {
         Command::Call { ask, forward, caller, ticket } => {
@@ -186,7 +305,10 @@
                 let _ = done.send(served);
             });
         }
-        Command::Reload(config) => driver.reload(*config),
+        Command::Reload(config) => driver.reload(match others {
+            Some((peers, me)) => cores::part(&config, peers.count(), *me),
+            None => *config,
+        }),
         Command::Ready(answer) => {
             let _ = answer.send(driver.is_ready());
         }
--- /dev/null
+++ b/library/tests/keys_4.rs
@@ -0,0 +1,8 @@
+//! The store of keys' tests, by four engines that serve as one.
+
+mod form {
+    pub const CORES: usize = 4;
+}
+
+#[path = "suite/keys.rs"]
+mod keys;
--- a/proxy/src/cores.rs
+++ b/proxy/src/cores.rs
@@ -37,10 +37,9 @@
     }
     let seats = Seat::all(sizes, config.seed);
     let Some(peers) = seats.first().map(Seat::peers) else { return Vec::new() };
-    // A call that lingers is called off once: as many are told of as linger.
-    let common = Common::new(move |shard, slot| {
+    let common = Common::new(move |shard, told| {
         peers.tell(shard, move |driver| {
-            driver.station(|keys: &mut KeyStation<Http1>, desk| keys.called_off(desk, slot));
+            driver.station(|keys: &mut KeyStation<Http1>, desk| keys.told(desk, told));
         });
     });
     let with_part = |seat: Seat<Http1>| {
@@ -54,11 +53,7 @@
 
 /// What one of so many shards is told.
 pub fn part(config: &Config, shards: usize, me: usize) -> Config {
-    let mut part = seat::part(config, shards, me);
-    if let Some(keys) = part.keys().map(|keys| keys.part(shards)) {
-        part.extras.set(keys);
-    }
-    part
+    seat::part(config, shards, me)
 }
 
 /// Starts a shard's engine on the thread that this is called on.
--- a/shards/cores/src/crossing.rs
+++ b/shards/cores/src/crossing.rs
@@ -10,6 +10,7 @@
 //! answer is refused until it does: two stores must not know of one key.
 
 use crate::hub::{Handover, Hub, Note};
+use crate::seat::key_of;
 use nettleworks_engine::calls::{Doubt, Guest, Reply};
 use nettleworks_engine::protocol::Protocol;
 use nettleworks_engine::station::{Desk, Station, Step, Taken};
@@ -149,9 +150,7 @@
 
     fn arrive(&mut self, desk: &mut Desk<P>, guest: Guest<P>) -> Step<P> {
         let ask = guest.ask();
-        let Some(key) = &ask.key else { return Step::Pass(guest) };
-        let tenant = ask.tenant.and_then(|tenant| u32::try_from(tenant.0).ok());
-        let class = u32::try_from(ask.class.0).unwrap_or(u32::MAX);
+        let Some((tenant, class, key)) = key_of(ask) else { return Step::Pass(guest) };
         let (to, life) = {
             let roll = self.roll.borrow();
             let to = roll.owner(self.hub.now(), self.hub.seed, tenant, class, key);
--- a/shards/cores/src/hub.rs
+++ b/shards/cores/src/hub.rs
@@ -7,7 +7,8 @@
 use nettleworks_policy::{CallId, News as Learned, ServerId};
 use nettleworks_shards::ids::OpenIds;
 use nettleworks_shards::news::{Cursor, News, Read};
-use nettleworks_shards::room::{Room, Shard, Wakes, SHARDS_MOST};
+pub use nettleworks_shards::room::SHARDS_MOST;
+use nettleworks_shards::room::{Room, Shard, Wakes};
 use nettleworks_shards::ticket::Ticket;
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -74,6 +75,8 @@
     beat: AtomicU64,
     ended: AtomicBool,
     done: AtomicBool,
+    /// Some other shard has found that it does not answer.
+    stalled: AtomicBool,
 }
 
 /// The list as the process knows it.
@@ -262,6 +265,17 @@
         self.wake_others(me);
     }
 
+    /// A shard does not answer, or does again.
+    pub(crate) fn stalled(&self, shard: Shard, stalled: bool) {
+        self.posts.iter().skip(shard).take(1).for_each(|post| post.stalled.store(stalled, Ordering::Relaxed));
+    }
+
+    /// Whether a shard takes what comes, as far as others have seen.
+    pub(crate) fn answers(&self, shard: Shard) -> bool {
+        let ended = |post: &Post<P>| post.ended.load(Ordering::Acquire);
+        self.posts.get(shard).is_some_and(|post| !post.stalled.load(Ordering::Relaxed) && !ended(post))
+    }
+
     /// Takes back what a stalled shard has of room without a call on it.
     pub(crate) fn reclaim(&self, shard: Shard) {
         let rooms = lock(&self.rooms);
@@ -285,6 +299,7 @@
             beat: AtomicU64::new(0),
             ended: AtomicBool::new(false),
             done: AtomicBool::new(false),
+            stalled: AtomicBool::new(false),
         }
     }
 }
--- a/shards/cores/src/seat.rs
+++ b/shards/cores/src/seat.rs
@@ -13,6 +13,7 @@
 use nettleworks_engine::Log;
 use nettleworks_policy::CallId;
 use nettleworks_shards::news::Cursor;
+use nettleworks_shards::owner;
 use nettleworks_shards::roll::{Change, Life, Roll};
 use nettleworks_shards::room::Shard;
 use std::cell::RefCell;
@@ -114,6 +115,13 @@
     mail: Mail<P>,
 }
 
+/// What a request's key belongs to, and the key.
+pub(crate) fn key_of<I>(ask: &Ask<I>) -> Option<(Option<u32>, u32, &[u8])> {
+    let key = ask.key.as_ref()?;
+    let tenant = ask.tenant.and_then(|tenant| u32::try_from(tenant.0).ok());
+    Some((tenant, u32::try_from(ask.class.0).unwrap_or(u32::MAX), key))
+}
+
 /// All shards, for what is to be done at one of them.
 pub struct Peers<P: Protocol>(Arc<Hub<P>>);
 
@@ -138,6 +146,17 @@
         }
     }
 
+    /// Whether a shard takes what comes, as far as others have seen.
+    pub fn answers(&self, shard: Shard) -> bool {
+        self.0.answers(shard)
+    }
+
+    /// Which shard a request's key belongs to, if it has one.
+    pub fn owner(&self, ask: &Ask<P::Id>) -> Option<Shard> {
+        let (tenant, class, key) = key_of(ask)?;
+        Some(owner::among(0..self.count(), self.0.seed, tenant, class, key))
+    }
+
     /// Does something at a shard, on its own thread, and waits for nothing. Whoever tells it bounds how much is told.
     pub fn tell(&self, shard: Shard, job: impl FnOnce(&Handle<P>) + Send + 'static) {
         if let Some(post) = self.0.posts.get(shard) {
@@ -286,6 +305,7 @@
         let changes = self.roll.borrow_mut().look(hub.now(), |shard| hub.pulse(shard));
         for Change { shard, now } in changes.iter().copied() {
             self.driver.log(&Change { shard, now }.to_string());
+            hub.stalled(shard, now == Life::Stalled);
             self.driver.station(|crossing: &mut Crossing<P>, desk| crossing.changed(desk, shard, now));
             if now == Life::Dead {
                 // Nobody there waits any more.
