Cause what several engines must survive: stalls, a panic, drains, full queues, a stop

The hard cases of several engines need tests that cause them. proxy/tests/cores.rs runs four engines on threads of the test, blocks one, tears one by a panic inside a change, tells a drain while a call is decided and not written, brings all load to one, fills a queue, reloads and stops while keys cross. On the way: a shard's mail is a task, so that a panic in it still lets the shard say its last words; a library's log with several engines has a thread of its own, so that a log that blocks keeps no engine; more than one unit of room is taken at a time.

--- a/library/src/thread.rs
+++ b/library/src/thread.rs
@@ -65,8 +65,54 @@
     pub ended: Ended,
 }
 
-/// Takes the lines of all engines' log.
-type Lines = Box<dyn Fn(&str) + Send>;
+/// Who takes the lines of the log.
+type Taker = Box<dyn Fn(&str) + Send>;
+
+/// Most lines that wait for their taker; further ones are dropped, and counted.
+const LINES_MOST: usize = 1_024;
+
+/// The log of all engines. One engine writes it itself; several must not wait for each other's lines, and have a thread
+/// that does.
+#[derive(Clone)]
+enum Lines {
+    One(Arc<Mutex<Taker>>),
+    Several { lines: std::sync::mpsc::SyncSender<String>, dropped: Arc<AtomicU64> },
+}
+
+impl Lines {
+    fn new(taker: Taker, engines: usize) -> Lines {
+        if engines == 1 {
+            return Lines::One(Arc::new(Mutex::new(taker)));
+        }
+        let (lines, queue) = std::sync::mpsc::sync_channel::<String>(LINES_MOST);
+        let dropped = Arc::new(AtomicU64::new(0));
+        let lost = dropped.clone();
+        let write = move || {
+            while let Ok(line) = queue.recv() {
+                match lost.swap(0, Ordering::Relaxed) {
+                    0 => {}
+                    lost => taker(&format!("{lost} lines of the log were dropped")),
+                }
+                taker(&line);
+            }
+        };
+        // Without it the lines are dropped, which is no reason not to serve.
+        let _ = std::thread::Builder::new().name("nettleworks-log".to_owned()).spawn(write);
+        Lines::Several { lines, dropped }
+    }
+
+    fn line(&self, me: usize, line: &str) {
+        match self {
+            // Whoever takes the lines may panic: the next line is his all the same.
+            Lines::One(taker) => taker.lock().unwrap_or_else(PoisonError::into_inner)(line),
+            Lines::Several { lines, dropped } => {
+                if lines.try_send(format!("shard {me}: {line}")).is_err() {
+                    dropped.fetch_add(1, Ordering::Relaxed);
+                }
+            }
+        }
+    }
+}
 
 /// What the engines tell the application together.
 struct Together {
@@ -100,10 +146,10 @@
 }
 
 /// Starts so many engines on threads of their own, and returns when they run.
-pub(crate) fn start(config: Config, engines: usize, log: Lines) -> Result<Started, StartError> {
+pub(crate) fn start(config: Config, engines: usize, log: Taker) -> Result<Started, StartError> {
     let (ended, has_ended) = watch::channel(None);
     let (shown, state) = watch::channel(State::default());
-    let log = Arc::new(Mutex::new(log));
+    let log = Lines::new(log, engines);
     let mut shards = Vec::new();
     let parts: Vec<(Option<Seat<Http1>>, Config)> = match engines {
         1 => vec![(None, config)],
@@ -119,14 +165,7 @@
         let (up, is_up) = std::sync::mpsc::sync_channel(1);
         started.push(is_up);
         let (log, together) = (log.clone(), together.clone());
-        let log = move |line: &str| {
-            // Whoever takes the lines may panic: the next line is his all the same.
-            let log = log.lock().unwrap_or_else(PoisonError::into_inner);
-            match engines {
-                1 => log(line),
-                _ => log(&format!("shard {me}: {line}")),
-            }
-        };
+        let log = move |line: &str| log.line(me, line);
         let name = if engines == 1 { "nettleworks".to_owned() } else { format!("nettleworks-{me}") };
         let thread = move || engine(me, seat, config, Rc::new(log), queue, &together, &up);
         std::thread::Builder::new().name(name).spawn(thread).map_err(StartError::System)?;
--- a/proxy/src/cores.rs
+++ b/proxy/src/cores.rs
@@ -7,7 +7,7 @@
 use nettleworks_engine::http1::Http1;
 use nettleworks_engine::task::{self, Task};
 use nettleworks_engine::Log;
-use nettleworks_keys_station::{Common, KeyStation, Together, WithKeys};
+use nettleworks_keys_station::{Common, KeyStation, Keys, Together, WithKeys};
 use std::collections::HashMap;
 use std::io;
 use std::net::TcpListener;
@@ -31,10 +31,14 @@
 /// Places for so many shards of a process with this configuration.
 /// Each comes with its part of the configuration.
 pub fn seats(config: &Config, shards: usize) -> Vec<(Seat<Http1>, Config)> {
-    let mut sizes = Sizes::of(shards);
-    if let Some(keys) = config.keys() {
-        sizes.remembered = keys.longest();
-    }
+    seats_of(config, Sizes::of(shards))
+}
+
+/// The same with sizes of one's own; keys are remembered for as long as the configuration says.
+pub fn seats_of(config: &Config, sizes: Sizes) -> Vec<(Seat<Http1>, Config)> {
+    let shards = sizes.shards;
+    let remembered = config.keys().map_or(sizes.remembered, Keys::longest);
+    let sizes = Sizes { remembered, ..sizes };
     let seats = Seat::all(sizes, config.seed);
     let Some(peers) = seats.first().map(Seat::peers) else { return Vec::new() };
     let common = Common::new(move |shard, told| {
--- /dev/null
+++ b/proxy/tests/cores.rs
@@ -0,0 +1,535 @@
+//! Several engines that serve as one, when one of them stalls, ends, is behind, or has all the load.
+
+use http::{HeaderMap, HeaderValue, Method, Uri};
+use nettleworks::config::Config;
+use nettleworks::cores::{self, End, Shards, Spare, Told};
+use nettleworks::server;
+use nettleworks_cores::Sizes;
+use nettleworks_engine::calls::{Ask, Reply};
+use nettleworks_engine::http1::Forward;
+use nettleworks_engine::list::List;
+use nettleworks_keys_station::WithKeys;
+use nettleworks_policy::ClassId;
+use nettleworks_standins::{eventually, request, run, Client, Fault, Message, Plan, Reader, Site};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::{Arc, Mutex};
+use std::thread::JoinHandle;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio::task::{spawn_local, JoinSet};
+use tokio::time::{sleep, Instant};
+
+/// Hosts get the keys of charges, so that their ledger counts runs by key.
+const KEYS: &str = r#"{"classes": {"unsafe": {"forward": true}}}"#;
+const SHARDS: usize = 4;
+const WINDOW: Duration = Duration::from_secs(9);
+
+/// A process of several engines, each on a thread of this one.
+struct Process {
+    address: SocketAddr,
+    peers: Shards,
+    stop: watch::Sender<bool>,
+    reload: watch::Sender<Option<Arc<Config>>>,
+    spare: Spare,
+    threads: Vec<JoinHandle<End>>,
+    log: Arc<Mutex<Vec<(usize, String)>>>,
+    /// The shard whose log panics at the next line that says this.
+    breaks: Arc<Mutex<Option<(usize, &'static str)>>>,
+}
+
+impl Process {
+    fn start(site: &Site) -> Process {
+        Process::with(site, Sizes::of(SHARDS), |_| ())
+    }
+
+    fn with(site: &Site, sizes: Sizes, change: impl FnOnce(&mut serde_json::Value)) -> Process {
+        let config = Config::parse(&site.configuration(change)).and_then(|config| config.with_keys(KEYS));
+        let config = config.expect("a good configuration");
+        let listeners = server::bind_all(config.listen, sizes.shards).expect("it listens");
+        let address = listeners[0].local_addr().expect("an address");
+        let spare = Spare::of(&listeners).expect("descriptors");
+        let (stop, stopped) = watch::channel(false);
+        let (reload, reloads) = watch::channel(None);
+        let (log, breaks) = (Arc::<Mutex<Vec<_>>>::default(), Arc::<Mutex<Option<_>>>::default());
+        let seats = cores::seats_of(&config, sizes);
+        let peers = seats[0].0.peers();
+        let start = |((seat, config), listener): ((_, Config), _)| {
+            let seat: nettleworks_cores::Seat<_> = seat;
+            let (spare, told) = (spare.clone(), Told { stop: stopped.clone(), reload: reloads.clone() });
+            let (log, breaks, shard) = (log.clone(), breaks.clone(), seat.shard());
+            std::thread::spawn(move || {
+                let ran = cores::run_thread(seat, async |seat| {
+                    let line = move |line: &str| {
+                        log.lock().expect("whole").push((shard, line.to_owned()));
+                        let mut breaks = breaks.lock().expect("whole");
+                        if breaks.take_if(|(at, text)| *at == shard && line.contains(*text)).is_some() {
+                            drop(breaks);
+                            panic!("as the test has it");
+                        }
+                    };
+                    cores::serve(seat, config, Rc::new(line), listener, spare, told).await
+                });
+                ran.expect("a thread").0
+            })
+        };
+        let threads = seats.into_iter().zip(listeners).map(start).collect();
+        Process { address, peers, stop, reload, spare, threads, log, breaks }
+    }
+
+    async fn client(&self) -> Client {
+        Reader::new(TcpStream::connect(self.address).await.expect("it accepts"))
+    }
+
+    async fn ready(&self) {
+        for shard in 0..self.peers.count() {
+            while self.peers.at(shard, |driver| driver.is_ready()).await != Some(true) {
+                sleep(Duration::from_millis(2)).await;
+            }
+        }
+    }
+
+    fn said(&self, text: &str) -> usize {
+        self.log.lock().expect("whole").iter().filter(|(_, line)| line.contains(text)).count()
+    }
+
+    /// The shard's thread does nothing else for so long.
+    fn block(&self, shard: usize, time: Duration) {
+        self.peers.tell(shard, move |_| std::thread::sleep(time));
+    }
+
+    /// A panic half way through a change of the shard's engine.
+    fn tear(&self, shard: usize) {
+        *self.breaks.lock().expect("whole") = Some((shard, "is ghost"));
+        let ghost = r#"{"seq": 900, "whole": false, "hosts": [{"host": "ghost", "dial": "127.0.0.1:9", "health": "Terminating"}]}"#;
+        let ghost: List = serde_json::from_str(ghost).expect("a list");
+        self.peers.tell(shard, move |driver| driver.told(ghost));
+    }
+
+    /// Stops it as SIGTERM does; how each shard has ended.
+    async fn stop(mut self) -> Vec<End> {
+        self.spare.close();
+        self.stop.send_replace(true);
+        let threads = std::mem::take(&mut self.threads);
+        let ended = move || threads.into_iter().map(|thread| thread.join().expect("it is caught")).collect();
+        tokio::task::spawn_blocking(ended).await.expect("no panic")
+    }
+
+    /// A key of a shard: the first that is its own of those that begin so.
+    fn key_of(&self, shard: usize, class: usize, name: &str) -> String {
+        let own = |key: &String| {
+            let ask = Ask {
+                id: "x".parse().expect("a value"),
+                class: ClassId(class),
+                tenant: None,
+                deadline: Instant::now(),
+                resent: false,
+                key: Some(key.clone().into()),
+            };
+            self.peers.owner(&ask) == Some(shard)
+        };
+        (0..).map(|n| format!("{name}-{n}")).find(own).expect("each shard has keys")
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.spare.close();
+        self.stop.send_replace(true);
+    }
+}
+
+fn charge(key: &str) -> String {
+    request("unsafe", &format!("Idempotency-Key: {key}\r\n"), "pays")
+}
+
+fn echo(service: u64, faults: Vec<(Fault, f64)>) -> Plan {
+    Plan { service: Duration::from_millis(service), echo: true, faults, ..Plan::default() }
+}
+
+fn stalling() -> Plan {
+    Plan { faults: vec![(Fault::Stall, 1.0)], ..Plan::default() }
+}
+
+fn problem(answer: &Message) -> String {
+    let body: serde_json::Value = serde_json::from_slice(&answer.body).unwrap_or_default();
+    body["key_state"].as_str().unwrap_or_default().to_owned()
+}
+
+/// Repeats of one key come over connections of all shards in the same moment, and the first fails: as it never ran, or
+/// as nobody knows. Each key runs once at the most, and all who get an answer get the same.
+#[test]
+fn repeats_at_all_shards_at_once_run_once() {
+    let faults = vec![(Fault::ResetBefore, 0.08), (Fault::TurnAway, 0.08), (Fault::ResetAfter, 0.08)];
+    let site = Site::start(vec![echo(2, faults); 4]);
+    run(async {
+        let process = Process::start(&site);
+        process.ready().await;
+        let mut clients = Vec::new();
+        for _ in 0..16 {
+            clients.push(Some(process.client().await));
+        }
+        let (mut answered, mut unsure) = (0, 0);
+        for round in 0..60 {
+            let mut asks = JoinSet::new();
+            for client in &mut clients {
+                let (mut client, text) = (client.take().expect("idle"), charge(&format!("round-{round}")));
+                asks.spawn_local(async move {
+                    let mut answer = client.ask(&text).await;
+                    // What was refused never ran, and comes again.
+                    while answer.status() == 503 {
+                        sleep(Duration::from_millis(5)).await;
+                        answer = client.ask(&text).await;
+                    }
+                    (client, answer)
+                });
+            }
+            let mut bodies = Vec::new();
+            let mut place = 0;
+            while let Some(ended) = asks.join_next().await {
+                let (client, answer) = ended.expect("no panic");
+                clients[place] = Some(client);
+                place += 1;
+                match answer.status() {
+                    200 => bodies.push(answer.body),
+                    502 => unsure += 1,
+                    status => panic!("{status}"),
+                }
+            }
+            answered += bodies.len();
+            assert!(bodies.iter().all(|body| *body == bodies[0]), "two answers of round {round}");
+        }
+        let mut taken = Vec::new();
+        for shard in 0..SHARDS {
+            taken.push(process.peers.at(shard, |driver| driver.state().requests).await.expect("it answers"));
+        }
+        assert!(taken.iter().filter(|count| **count > 0).count() > 1, "all came to one shard: {taken:?}");
+        assert!(answered > 400 && unsure >= 16, "{answered} {unsure}");
+        assert!(process.stop().await.iter().all(|end| *end == End::Well));
+    });
+    assert!(site.ledger.runs().values().all(|runs| *runs == 1), "{:?}", site.ledger.runs());
+    assert_eq!(site.ledger.twice(WINDOW), []);
+}
+
+/// A shard ends by a panic while keys run on it: whoever waits there is told at once that it may have run, its keys stay
+/// unsure and go to no host again, and the others' go on.
+#[test]
+fn a_shard_that_ends_leaves_its_keys_unsure() {
+    let site = Site::start(vec![stalling()]);
+    run(async {
+        let process = Process::start(&site);
+        process.ready().await;
+        let (lost, kept) = (process.key_of(1, 2, "lost"), process.key_of(2, 2, "kept"));
+        let mut asks = Vec::new();
+        let clients = [&lost; 2].into_iter().chain([&kept; 12]);
+        for key in clients {
+            let mut client = process.client().await;
+            let text = charge(key);
+            asks.push(spawn_local(async move { client.ask(&text).await }));
+        }
+        eventually("both run", || site.counts() == [2]).await;
+        let started = Instant::now();
+        process.tear(1);
+        for ask in asks.drain(..2) {
+            let answer = ask.await.expect("no panic");
+            assert_eq!(answer.status(), 502, "{answer:?}");
+        }
+        assert!(started.elapsed() < Duration::from_secs(3), "told at once: {:?}", started.elapsed());
+        eventually("it is missed", || process.said("shard 1 has ended") == SHARDS - 1).await;
+        for _ in 0..8 {
+            let answer = process.client().await.ask(&charge(&lost)).await;
+            assert_eq!((answer.status(), &problem(&answer)[..]), (502, "unsure"));
+        }
+        site.with(|inside| inside.hosts[0].release.notify_waiters());
+        let mut served = 0;
+        for ask in asks {
+            // Those whose connection was the dead shard's are told as much.
+            match ask.await.expect("no panic").status() {
+                200 => served += 1,
+                status => assert_eq!(status, 502),
+            }
+        }
+        assert!(served > 0, "its key goes on");
+        let again = process.client().await.ask(&charge(&kept)).await;
+        assert_eq!((again.status(), again.header("idempotency-replayed")), (200, Some("true")));
+        let ends = process.stop().await;
+        assert_eq!(ends, [End::Well, End::Panicked, End::Well, End::Well]);
+    });
+    assert_eq!(site.counts(), [2]);
+}
+
+/// A shard's thread is blocked: new clients are served by others, its keys are refused and not run elsewhere, what it
+/// had of room is the others', and when it comes back all is as before.
+#[test]
+fn a_stalled_shard_is_stood_in_for() {
+    let site = Site::start(vec![echo(1, vec![]); 2]);
+    run(async {
+        let process = Process::start(&site);
+        process.ready().await;
+        let its = process.key_of(1, 2, "its");
+        assert_eq!(process.client().await.ask(&charge(&its)).await.status(), 200);
+        process.block(1, Duration::from_secs(4));
+        eventually("it is noticed", || process.said("shard 1 does not answer") == SHARDS - 1).await;
+        for _ in 0..24 {
+            let started = Instant::now();
+            let answer = process.client().await.ask(&request("free", "", "")).await;
+            assert_eq!(answer.status(), 200);
+            assert!(started.elapsed() < Duration::from_millis(1_500), "{:?}", started.elapsed());
+        }
+        let refused = process.client().await.ask(&charge(&its)).await;
+        assert_eq!(refused.status(), 503, "nobody else knows of it");
+        assert!(refused.header("retry-after").is_some());
+        eventually("it is back", || process.said("shard 1 answers again") >= SHARDS - 1).await;
+        let replayed = process.client().await.ask(&charge(&its)).await;
+        assert_eq!((replayed.status(), replayed.header("idempotency-replayed")), (200, Some("true")));
+        assert!(process.stop().await.iter().all(|end| *end == End::Well));
+    });
+    assert_eq!(site.ledger.runs().values().max(), Some(&1));
+}
+
+/// The watch is one, and when the shard that has it stalls another goes on with it.
+#[test]
+fn the_watch_is_one_and_moves_on() {
+    let site = Site::start(vec![echo(1, vec![]); 2]);
+    run(async {
+        let process = Process::start(&site);
+        process.ready().await;
+        let watches = || site.with(|inside| inside.registry.watches.get());
+        assert_eq!(watches(), 1);
+        process.block(0, Duration::from_secs(3));
+        eventually("another watches", || watches() == 2).await;
+        site.with(|inside| inside.list(1, "Terminating"));
+        let told = async |shard| {
+            let hosts = process.peers.at(shard, |driver| driver.state().hosts).await.unwrap_or_default();
+            hosts.iter().any(|host| host.health == nettleworks_engine::list::Health::Terminating)
+        };
+        for shard in 1..SHARDS {
+            while !told(shard).await {
+                sleep(Duration::from_millis(5)).await;
+            }
+        }
+        eventually("it is back", || process.said("shard 0 answers again") >= SHARDS - 1).await;
+        while !told(0).await {
+            sleep(Duration::from_millis(5)).await;
+        }
+        let before = site.counts()[1];
+        for _ in 0..20 {
+            assert_eq!(process.client().await.ask(&request("free", "", "")).await.status(), 200);
+        }
+        assert_eq!(site.counts()[1], before, "it drains");
+        process.stop().await;
+    });
+}
+
+fn free(id: String) -> (Ask<HeaderValue>, Forward) {
+    let deadline = Instant::now() + Duration::from_secs(8);
+    let id: HeaderValue = id.parse().expect("a value");
+    let ask = Ask { id, class: ClassId(0), tenant: None, deadline, resent: false, key: None };
+    let target = Uri::from_static("/api");
+    (ask, Forward { method: Method::GET, target, headers: HeaderMap::new(), body: Default::default() })
+}
+
+/// A shard has decided where a call goes and not written it when the process is told that the host drains; its thread
+/// sleeps over that, and must not write when it wakes.
+#[test]
+fn what_was_decided_is_not_written_once_the_process_knows_better() {
+    let site = Site::start(vec![echo(1, vec![])]);
+    run(async {
+        let process = Process::start(&site);
+        process.ready().await;
+        // Each shard but the one that watches. It has a connection that can be written to at once.
+        for shard in 1..SHARDS {
+            process.peers.tell(shard, move |driver| {
+                let (ask, forward) = free(format!("first-{shard}"));
+                let waiting = driver.request(ask, forward);
+                spawn_local(async move { drop(waiting.reply().await) });
+            });
+        }
+        eventually("they are answered", || site.counts() == [SHARDS - 1]).await;
+        sleep(Duration::from_millis(50)).await;
+        for shard in 1..SHARDS {
+            process.peers.tell(shard, move |driver| {
+                let driver = driver.clone();
+                spawn_local(async move {
+                    let (ask, forward) = free(format!("decided-{shard}"));
+                    let waiting = driver.request(ask, forward);
+                    // Its attempt's task has not run yet, and comes before the news do.
+                    std::thread::sleep(Duration::from_millis(700));
+                    drop(waiting.reply().await);
+                });
+            });
+        }
+        sleep(Duration::from_millis(100)).await;
+        site.with(|inside| inside.list(0, "Terminating"));
+        for shard in 1..SHARDS {
+            let attempts = process.peers.at(shard, |driver| driver.state().attempts).await;
+            assert_eq!(attempts, Some(2), "shard {shard} had decided");
+        }
+        sleep(Duration::from_millis(300)).await;
+        process.stop().await;
+    });
+    assert_eq!(site.counts(), [SHARDS - 1]);
+}
+
+/// All calls come to one shard. It gets all the room of the process, and the one trial, at once, though the others had
+/// some on their leases; never more than one module would have had.
+#[test]
+fn room_follows_the_load_to_one_shard() {
+    let site = Site::start(vec![stalling()]);
+    run(async {
+        let process = Process::start(&site);
+        process.ready().await;
+        // A call or two of each, so that all have some.
+        for shard in 0..SHARDS {
+            process.peers.tell(shard, move |driver| {
+                let (ask, forward) = free(format!("first-{shard}"));
+                let waiting = driver.request(ask, forward);
+                spawn_local(async move { drop(waiting.reply().await) });
+            });
+        }
+        eventually("all have some", || site.counts() == [SHARDS]).await;
+        site.with(|inside| inside.hosts[0].release.notify_waiters());
+        eventually("they are answered", || site.with(|inside| inside.hosts[0].open.get()) > 0).await;
+        let before = site.counts()[0];
+        process.peers.tell(0, |driver| {
+            for call in 0..40 {
+                let (ask, forward) = free(format!("load-{call}"));
+                let waiting = driver.request(ask, forward);
+                spawn_local(async move { drop(waiting.reply().await) });
+            }
+        });
+        let out = || site.counts()[0] - before;
+        // One balancer that is alone begins with 7 at a host, and a trial.
+        eventually("it has all room", || out() >= 7).await;
+        sleep(Duration::from_millis(300)).await;
+        assert!(out() <= 8, "room is one for the process: {}", out());
+        process.stop().await;
+    });
+}
+
+/// A shard that is slow, and not yet taken for stalled: as many requests wait for it as its queue holds, one more is
+/// refused at once, and those that waited are answered when it goes on.
+#[test]
+fn a_full_queue_refuses_at_once() {
+    let site = Site::start(vec![echo(1, vec![])]);
+    run(async {
+        let sizes = Sizes { queue: 2, patience: Duration::from_secs(20), ..Sizes::of(2) };
+        let process = Process::with(&site, sizes, |_| ());
+        process.ready().await;
+        let other = async |shard: usize| {
+            // A connection of the shard that is not blocked.
+            let count = async || process.peers.at(shard, |driver| driver.state().requests).await;
+            loop {
+                let mut client = process.client().await;
+                let before = count().await;
+                assert_eq!(client.ask(&request("free", "", "")).await.status(), 200);
+                if count().await > before {
+                    return client;
+                }
+            }
+        };
+        let mut clients = Vec::new();
+        for _ in 0..6 {
+            clients.push(other(0).await);
+        }
+        process.block(1, Duration::from_secs(2));
+        let mut asks = JoinSet::new();
+        for (n, mut client) in clients.into_iter().enumerate() {
+            let text = charge(&process.key_of(1, 2, &format!("full{n}")));
+            asks.spawn_local(async move {
+                let started = Instant::now();
+                let answer = client.ask(&text).await;
+                (answer.status(), answer.header("retry-after").is_some(), started.elapsed())
+            });
+        }
+        let mut seen: BTreeMap<u16, usize> = BTreeMap::new();
+        while let Some(ended) = asks.join_next().await {
+            let (status, advice, took) = ended.expect("no panic");
+            *seen.entry(status).or_default() += 1;
+            assert_eq!(advice, status == 503);
+            assert!(status == 200 || took < Duration::from_secs(1), "at once: {took:?}");
+        }
+        assert_eq!(seen, BTreeMap::from([(200, 2), (503, 4)]));
+        process.stop().await;
+    });
+    assert_eq!(site.ledger.len(), 2 + site.ledger.effects().iter().filter(|e| !e.unsafe_method).count());
+}
+
+/// Keys cross while the configuration is read again and again, and when all are told to stop: each request has its
+/// answer, and none runs twice.
+#[test]
+fn keys_cross_while_all_is_reloaded_and_stopped() {
+    let site = Site::start(vec![echo(3, vec![]); 3]);
+    run(async {
+        let process = Process::start(&site);
+        process.ready().await;
+        let mut asks = JoinSet::new();
+        for client in 0..24 {
+            let mut connection = process.client().await;
+            asks.spawn_local(async move {
+                let mut answers = Vec::new();
+                for call in 0..40 {
+                    // Two clients a key, at the same time.
+                    connection.send(&charge(&format!("{}-{call}", client / 2))).await;
+                    match connection.message().await {
+                        Some(answer) => answers.push(answer.status()),
+                        // It closes between requests once it is told to stop.
+                        None => break,
+                    }
+                }
+                answers
+            });
+        }
+        let again = Config::parse(&site.configuration(|_| ())).and_then(|config| config.with_keys(KEYS));
+        let again = Arc::new(again.expect("a good configuration"));
+        for _ in 0..8 {
+            process.reload.send_replace(Some(again.clone()));
+            sleep(Duration::from_millis(10)).await;
+        }
+        let last = process.key_of(3, 2, "last");
+        let mut late = process.client().await;
+        assert!(process.said("configuration read again") >= SHARDS);
+        let stopping = spawn_local(process.stop());
+        // It is taken while the stop is under way, and its key is another shard's.
+        assert_eq!(late.ask(&charge(&last)).await.status(), 200);
+        assert!(stopping.await.expect("no panic").iter().all(|end| *end == End::Well));
+        let mut served = 0;
+        while let Some(ended) = asks.join_next().await {
+            let answers = ended.expect("no panic");
+            assert!(answers.iter().all(|status| *status == 200), "{answers:?}");
+            served += answers.len();
+        }
+        assert!(served > 400, "{served}");
+    });
+    assert_eq!(site.ledger.runs().values().max(), Some(&1));
+}
+
+/// What is asked of a shard that has ended is not waited for, and an id is open once in the whole process.
+#[test]
+fn an_id_is_open_once_in_the_process() {
+    let site = Site::start(vec![stalling()]);
+    run(async {
+        let process = Process::start(&site);
+        process.ready().await;
+        process.peers.tell(0, |driver| {
+            let (ask, forward) = free("same".to_owned());
+            let waiting = driver.request(ask, forward);
+            spawn_local(async move { drop(waiting.reply().await) });
+        });
+        eventually("it is out", || site.counts() == [1]).await;
+        let (sender, told) = tokio::sync::oneshot::channel();
+        process.peers.tell(1, |driver| {
+            let (ask, forward) = free("same".to_owned());
+            let waiting = driver.request(ask, forward);
+            spawn_local(async move { sender.send(matches!(waiting.reply().await, Reply::IdOpen)) });
+        });
+        assert!(told.await.expect("it answers"), "it is open at another shard");
+        process.tear(1);
+        eventually("it has ended", || process.said("shard 1 has ended") > 0).await;
+        assert_eq!(process.peers.at(1, |_| ()).await, None);
+        process.stop().await;
+    });
+    assert_eq!(site.counts(), [1]);
+}
--- a/shards/cores/src/member.rs
+++ b/shards/cores/src/member.rs
@@ -157,14 +157,18 @@
         let mut need = held.min(TAKE_MOST);
         // One more than is needed, as a choice of two is better than none.
         let mut wanted = need + 1;
-        for at in short.iter().filter(|at| at.room) {
-            let Some(known) = self.hosts.get(&at.server) else { continue };
-            if wanted > 0 && known.room.take(self.me, 1) == 1 {
-                wanted -= 1;
-                need = need.saturating_sub(1);
-                self.tell_module(at.server, events);
+        // One at each host, and again: what waits is to be spread.
+        let mut more = true;
+        while std::mem::take(&mut more) {
+            for at in short.iter().filter(|at| at.room) {
+                let Some(known) = self.hosts.get(&at.server) else { continue };
+                if wanted > 0 && known.room.take(self.me, 1) == 1 {
+                    (wanted, more) = (wanted - 1, true);
+                    need = need.saturating_sub(1);
+                }
             }
         }
+        short.iter().for_each(|at| self.tell_module(at.server, events));
         for at in short.iter().filter(|at| at.trial) {
             let Some(known) = self.hosts.get(&at.server) else { continue };
             if need > 0 && known.room.take_trial(self.me) {
--- a/shards/cores/src/seat.rs
+++ b/shards/cores/src/seat.rs
@@ -23,6 +23,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot, watch};
+use tokio::task::JoinSet;
 use tokio::time::{interval, sleep, timeout, MissedTickBehavior};
 
 /// How often a shard beats and looks at the others.
@@ -240,7 +241,14 @@
     /// Does the shard's part for the others for as long as it is polled. It returns only when a panic has left its
     /// engine half way through a change, after all that it had open was told so: the thread is to end then.
     pub async fn serve(self) {
-        self.mail.run().await;
+        // A task of its own: a panic ends it, and not what is to be said then.
+        let mut mail = JoinSet::new();
+        mail.spawn_local(self.mail.run());
+        // However it has ended.
+        let _ = mail.join_next().await;
+        self.driver.abandon();
+        self.driver.log("a panic has left this shard half way through a change: it ends");
+        sleep(LAST_WORDS).await;
     }
 }
 
@@ -268,9 +276,6 @@
                 }
             }
         }
-        self.driver.abandon();
-        self.driver.log("a panic has left this shard half way through a change: it ends");
-        sleep(LAST_WORDS).await;
     }
 
     /// Room, the list, and news of hosts.
