Storm four engines over connections: nothing runs twice while a host dies

The proof of keys across engines needs connections of all shards: the library's own calls go to the key's shard at once. standins/ makes a storm's sends over kept connections; a test plays 300 keys over four engines with stalls, resets, a host that is killed and a shard that is blocked for 1.6 s.

--- a/proxy/tests/cores.rs
+++ b/proxy/tests/cores.rs
@@ -4,13 +4,16 @@
 use nettleworks::config::Config;
 use nettleworks::cores::{self, End, Shards, Spare, Told};
 use nettleworks::server;
+use nettleworks_cores::crossing::Crossed;
 use nettleworks_cores::Sizes;
 use nettleworks_engine::calls::{Ask, Reply};
 use nettleworks_engine::http1::Forward;
 use nettleworks_engine::list::List;
 use nettleworks_keys_station::WithKeys;
 use nettleworks_policy::ClassId;
-use nettleworks_standins::{eventually, request, run, Client, Fault, Message, Plan, Reader, Site};
+use nettleworks_standins::{
+    eventually, over, request, run, Aftermath, Client, Fault, Message, Plan, Reader, Site, Storm,
+};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -46,7 +49,11 @@
     }
 
     fn with(site: &Site, sizes: Sizes, change: impl FnOnce(&mut serde_json::Value)) -> Process {
-        let config = Config::parse(&site.configuration(change)).and_then(|config| config.with_keys(KEYS));
+        Process::configured(&site.configuration(change), sizes)
+    }
+
+    fn configured(config: &str, sizes: Sizes) -> Process {
+        let config = Config::parse(config).and_then(|config| config.with_keys(KEYS));
         let config = config.expect("a good configuration");
         let listeners = server::bind_all(config.listen, sizes.shards).expect("it listens");
         let address = listeners[0].local_addr().expect("an address");
@@ -506,6 +513,35 @@
     assert_eq!(site.ledger.runs().values().max(), Some(&1));
 }
 
+/// Charges and entries in a storm over connections of all shards, with stalls, resets, a host that is killed and a shard
+/// that is blocked for a while: nothing runs twice, and no key has two answers.
+#[test]
+fn a_storm_over_all_shards_runs_nothing_twice() {
+    let storm = Storm { keys: 300, ..Storm::default() };
+    let site = storm.site(4);
+    run(async {
+        let config = storm.configuration(&site);
+        let process = Process::configured(&config, Sizes::of(SHARDS));
+        process.ready().await;
+        let begun = |number| match number {
+            100 => site.with(|inside| inside.hosts[1].kill()),
+            150 => process.block(2, Duration::from_millis(1_600)),
+            _ => {}
+        };
+        let aftermath = storm.run(&site.ledger, WINDOW, over(process.address), begun).await;
+        let mut handed = 0;
+        for shard in 0..SHARDS {
+            let crossed = process.peers.at(shard, |driver| driver.state().of::<Crossed>().copied()).await;
+            handed += crossed.flatten().expect("it answers").handed;
+        }
+        assert!(handed > 300, "keys cross: {handed}");
+        let Aftermath { charges_twice, entries_twice, two_answers, .. } = aftermath;
+        assert_eq!((charges_twice, entries_twice, two_answers), (0, 0, 0), "{aftermath:?}");
+        assert!(aftermath.replayed * 100 >= aftermath.answerable * 95, "{aftermath:?}");
+        process.stop().await;
+    });
+}
+
 /// What is asked of a shard that has ended is not waited for, and an id is open once in the whole process.
 #[test]
 fn an_id_is_open_once_in_the_process() {
--- a/standins/src/client.rs
+++ b/standins/src/client.rs
@@ -2,6 +2,7 @@
 
 use crate::message::{Message, Reader};
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
@@ -13,6 +14,11 @@
 
 /// A request of a class, with further header lines and a body. Each has an id of its own.
 pub fn request(class: &str, more: &str, body: &str) -> String {
+    request_for(class, more, body, Duration::from_secs(8))
+}
+
+/// The same for a client that waits so long.
+pub fn request_for(class: &str, more: &str, body: &str, patience: Duration) -> String {
     static IDS: AtomicU64 = AtomicU64::new(0);
     let (id, length) = (IDS.fetch_add(1, Ordering::Relaxed), body.len());
     let (method, key) = match class {
@@ -23,7 +29,8 @@
     let length = if body.is_empty() { String::new() } else { format!("Content-Length: {length}\r\n") };
     format!(
         "{method} /api HTTP/1.1\r\nHost: api.internal\r\nX-Call-Id: {id:016x}\r\nX-Call-Class: {class}\r\n\
-         X-Budget-Ms: 8000\r\n{key}{more}{length}\r\n{body}"
+         X-Budget-Ms: {}\r\n{key}{more}{length}\r\n{body}",
+        patience.as_millis()
     )
 }
 
