Measure several engines; tell rooms at once; share the bounds of stores without a gap

measure -- cores compares one engine, two, two daemons and the least hyper proxy on two processors, counts connections and watches, times how fast room follows the load and how long a key takes over another engine, and plays a storm over four. It showed 100 to 300 attempts in 8 turns that were decided and found no room: rooms at several hosts were told one after another, and a call went by what held before. A property test of several stores found that a claimed key that had gone by itself was counted twice; claims settle with it now.

--- a/keys/src/lib.rs
+++ b/keys/src/lib.rs
@@ -37,4 +37,4 @@
     Arrival, BadSlot, Cause, Counts, Digest, End, Ended, KeyState, Kind, Known, Left, Micros, Request, Slot,
     Store, Verdict, WaiterId,
 };
-pub use tally::{Claimed, Sharer, Tally};
+pub use tally::{Sharer, Tally};
--- a/keys/src/store.rs
+++ b/keys/src/store.rs
@@ -1,7 +1,7 @@
 //! The state machine.
 
 use crate::bounds::Bounds;
-use crate::tally::{Claimed, Sharer, Tally};
+use crate::tally::{Sharer, Tally};
 use siphasher::sip::SipHasher13;
 use siphasher::sip128::{Hasher128, SipHasher24};
 use std::collections::{BTreeSet, HashMap};
@@ -408,7 +408,7 @@
     /// Where other stores share its bounds, and which of them it is.
     tally: Option<(Sharer, Arc<Tally>)>,
     /// What others are to give up for this one, and have not been told; one at most a request.
-    claims: Vec<(Sharer, Claimed)>,
+    claims: Vec<Sharer>,
 }
 
 impl Spare {
@@ -454,20 +454,17 @@
     }
 
     /// What others are to give up, each by [`Store::give_up`]: to be asked after each request, and told.
-    pub fn claims(&mut self) -> Vec<(Sharer, Claimed)> {
+    pub fn claims(&mut self) -> Vec<Sharer> {
         std::mem::take(&mut self.claims)
     }
 
     /// Another store has claimed a key of this one.
-    pub fn give_up(&mut self, claimed: Claimed) {
-        let Some((me, tally)) = &self.tally else { return };
-        tally.unclaim(*me, claimed);
-        let spare = match claimed {
-            None => Some(&self.spare),
-            Some(tenant) => self.tenants.get(&tenant).map(|tenant| &tenant.spare),
-        };
+    pub fn give_up(&mut self) {
         // It may have gone by itself.
-        if let Some(place) = spare.and_then(first) {
+        if !self.tally.as_ref().is_some_and(|(me, tally)| tally.unclaim(*me)) {
+            return;
+        }
+        if let Some(place) = first(&self.spare) {
             self.evict(place);
         }
     }
@@ -776,15 +773,12 @@
         };
         of(&mut tenant.spare);
         of(&mut self.spare);
-        self.tell_spare(place);
+        self.tell_spare();
     }
 
     /// The stores that share its bounds know what could go here.
-    fn tell_spare(&self, place: usize) {
-        let Some((me, tally)) = &self.tally else { return };
-        let Some(entry) = &self.entries[place] else { return };
-        let of_tenant = self.tenants.get(&entry.key.tenant).map_or(0, |tenant| tenant.spare.len());
-        tally.spare(*me, self.spare.len(), entry.key.tenant, of_tenant);
+    fn tell_spare(&self) {
+        self.tally.iter().for_each(|(me, tally)| tally.spare(*me, self.spare.len()));
     }
 
     pub(crate) fn unlist(&mut self, place: usize) {
@@ -796,11 +790,11 @@
             spare.answers.remove(&(until, place));
             spare.rest.remove(&(until, place));
         }
-        self.tell_spare(place);
     }
 
     fn remove(&mut self, place: usize) {
         self.unlist(place);
+        self.tell_spare();
         let Some(entry) = self.entries[place].take() else { return };
         self.places.remove(&entry.key);
         self.free.push(place);
@@ -865,7 +859,8 @@
                 let place = if cause == Cause::Tenant { own } else { first(&self.spare) };
                 match place {
                     Some(place) => self.evict(place),
-                    None => self.claims.push(tally.claim(me, cause, tenant).ok_or(cause)?),
+                    None if cause == Cause::Entries => self.claims.push(tally.claim(me).ok_or(cause)?),
+                    None => return Err(cause),
                 }
             }
             return Ok(());
--- a/keys/station/src/lib.rs
+++ b/keys/station/src/lib.rs
@@ -83,7 +83,7 @@
     /// Another station that shares its bounds needs room.
     pub fn told(&mut self, desk: &mut Desk<P>, told: Told) {
         match told {
-            Told::GiveUp(claimed) => self.store.give_up(claimed),
+            Told::GiveUp => self.store.give_up(),
             // It may have ended by itself, or be wanted again.
             Told::CallOff(slot) if self.lingering.end(slot) => {
                 self.store.counts_mut().called_off += 1;
--- a/keys/station/src/together.rs
+++ b/keys/station/src/together.rs
@@ -2,7 +2,7 @@
 
 use nettleworks_engine::config::Config;
 use nettleworks_engine::extras::Extra;
-use nettleworks_keys::{Claimed, LingerBounds, Lingering, Slot, Tally};
+use nettleworks_keys::{LingerBounds, Lingering, Slot, Tally};
 use std::fmt;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
@@ -12,7 +12,7 @@
     /// A call of it lingers no more, and is to be called off.
     CallOff(Slot),
     /// A key of it is to make room.
-    GiveUp(Claimed),
+    GiveUp,
 }
 
 /// Tells the station of a shard.
@@ -106,9 +106,9 @@
     }
 
     /// What a store of another shard is to give up.
-    pub fn claim(&self, claims: Vec<(usize, Claimed)>) {
-        for (shard, claimed) in claims {
-            self.together.iter().for_each(|together| (together.common.tell)(shard, Told::GiveUp(claimed)));
+    pub fn claim(&self, claims: Vec<usize>) {
+        for shard in claims {
+            self.together.iter().for_each(|together| (together.common.tell)(shard, Told::GiveUp));
         }
     }
 
--- a/measure/src/instructions.rs
+++ b/measure/src/instructions.rs
@@ -24,18 +24,23 @@
 
 /// Instructions for each request to a role; `None`: there is no valgrind here.
 pub fn a_request(role: &str, config: &str, asked: &Asked) -> Option<f64> {
-    let few = total(role, config, asked, FEW)?;
-    let many = total(role, config, asked, FEW + MORE)?;
+    a_request_on(role, config, asked, 1)
+}
+
+/// The same for a role with so many threads.
+pub fn a_request_on(role: &str, config: &str, asked: &Asked, threads: usize) -> Option<f64> {
+    let few = total(role, config, asked, threads, FEW)?;
+    let many = total(role, config, asked, threads, FEW + MORE)?;
     Some((many - few) / MORE as f64)
 }
 
-fn total(name: &str, config: &str, asked: &Asked, requests: usize) -> Option<f64> {
+fn total(name: &str, config: &str, asked: &Asked, threads: usize, requests: usize) -> Option<f64> {
     let out = std::env::temp_dir().join(format!("callgrind-{}-{requests}", std::process::id()));
     let role = Role::start_under(
         &["valgrind", "--quiet", "--tool=callgrind", &format!("--callgrind-out-file={}", out.display())],
         name,
         config,
-        1,
+        threads,
     )?;
     crate::library::until_ready(role.address);
     let served = run(async {
--- /dev/null
+++ b/measure/src/least.rs
@@ -0,0 +1,95 @@
+//! The least proxy that hyper allows: no decision, no bound, no repeat. Each thread has connections of its own to each
+//! host and takes them in turn; bodies are read whole.
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::client::conn::http1::SendRequest;
+use hyper::service::service_fn;
+use hyper::{Request, Response, StatusCode};
+use hyper_util::rt::TokioIo;
+use std::cell::{Cell, RefCell};
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::net::TcpStream;
+use tokio::task::{spawn_local, LocalSet};
+
+type Idle = Vec<SendRequest<Full<Bytes>>>;
+
+struct Pool {
+    hosts: Vec<SocketAddr>,
+    idle: RefCell<Vec<Idle>>,
+    next: Cell<usize>,
+}
+
+/// Serves on so many threads for as long as the process lives, and says where.
+pub fn serve(hosts: &[SocketAddr], threads: usize) {
+    let any = "127.0.0.1:0".parse().expect("an address");
+    let listeners = nettleworks::server::bind_all(any, threads).expect("it listens");
+    println!("{}", listeners[0].local_addr().expect("an address"));
+    let threads: Vec<_> = listeners
+        .into_iter()
+        .map(|listener| {
+            let hosts = hosts.to_vec();
+            std::thread::spawn(move || one(listener, hosts))
+        })
+        .collect();
+    threads.into_iter().for_each(|thread| drop(thread.join()));
+}
+
+fn one(listener: std::net::TcpListener, hosts: Vec<SocketAddr>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    LocalSet::new().block_on(&runtime, async {
+        let listener = tokio::net::TcpListener::from_std(listener).expect("a listener");
+        let idle = RefCell::new(hosts.iter().map(|_| Vec::new()).collect());
+        let pool = Rc::new(Pool { hosts, idle, next: Cell::new(0) });
+        loop {
+            let Ok((stream, _)) = listener.accept().await else { continue };
+            // It only costs time.
+            let _ = stream.set_nodelay(true);
+            let pool = pool.clone();
+            let service = service_fn(move |request| {
+                let pool = pool.clone();
+                async move { Ok::<_, Infallible>(pass(&pool, request).await.unwrap_or_else(bad)) }
+            });
+            let connection =
+                hyper::server::conn::http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            spawn_local(connection);
+        }
+    });
+}
+
+fn bad(_: Box<dyn std::error::Error>) -> Response<Full<Bytes>> {
+    let mut answer = Response::new(Full::default());
+    *answer.status_mut() = StatusCode::BAD_GATEWAY;
+    answer
+}
+
+async fn pass(
+    pool: &Pool,
+    request: Request<Incoming>,
+) -> Result<Response<Full<Bytes>>, Box<dyn std::error::Error>> {
+    if request.uri().path() == "/_health" {
+        return Ok(Response::new(Full::default()));
+    }
+    let (head, body) = request.into_parts();
+    let body = Full::new(body.collect().await?.to_bytes());
+    let at = pool.next.get();
+    pool.next.set((at + 1) % pool.hosts.len());
+    let kept = pool.idle.borrow_mut()[at].pop();
+    let mut sender = match kept {
+        Some(sender) => sender,
+        None => {
+            let stream = TcpStream::connect(pool.hosts[at]).await?;
+            stream.set_nodelay(true)?;
+            let (sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await?;
+            spawn_local(connection);
+            sender
+        }
+    };
+    let (head, body) = sender.send_request(Request::from_parts(head, body)).await?.into_parts();
+    let body = body.collect().await?.to_bytes();
+    pool.idle.borrow_mut()[at].push(sender);
+    Ok(Response::from_parts(head, Full::new(body)))
+}
--- a/measure/src/main.rs
+++ b/measure/src/main.rs
@@ -2,9 +2,11 @@
 //! line of standard output is one JSON object with targets, and the exit status is 1 if one is missed.
 #![forbid(unsafe_code)]
 
+mod cores;
 mod engine;
 mod instructions;
 mod keys;
+mod least;
 mod library;
 mod process;
 mod report;
@@ -15,6 +17,8 @@
 
 const USAGE: &str = "\
 usage: measure NAME [--full]
+  cores      several engines beside one, as many daemons, and the least proxy: requests a second, connections, room that
+             follows the load, keys that cross, a storm of repeats
   engine     instructions a request without a station on its way, by those before there were stations
   keys       the store of idempotency keys: look-up time, bytes a key, CPU a request with it and without; a storm of
              repeats with lingering and without, and how long those that join wait
@@ -26,6 +30,11 @@
     let full = words.contains(&"--full");
     let report = match words[..] {
         ["library"] | ["library", "--full"] => library::measure(full),
+        ["cores"] | ["cores", "--full"] => match cores::pinned(full) {
+            Some(report) => report,
+            None => return ExitCode::FAILURE,
+        },
+        ["cores-pinned"] | ["cores-pinned", "--full"] => cores::measure(full),
         ["engine"] | ["engine", "--full"] => engine::measure(full),
         ["keys"] | ["keys", "--full"] => keys::measure(full),
         // What a measurement starts of itself, as processes of their own.
--- a/measure/src/roles.rs
+++ b/measure/src/roles.rs
@@ -9,6 +9,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper_util::client::legacy::Client;
 use hyper_util::rt::TokioExecutor;
+use nettleworks::cores::{self, Spare, Told};
 use nettleworks_client::{CallContext, Fleet};
 use nettleworks_engine::config::Config;
 use nettleworks_keys_station::WithKeys;
@@ -35,6 +36,16 @@
     match name {
         "daemon" => daemon(argument, false),
         "daemon-with-keys" => daemon(argument, true),
+        "engines" => engines(argument, threads, false),
+        "engines-with-keys" => engines(argument, threads, true),
+        // Takes its processor's time from whoever else is on it.
+        "burn" => {
+            println!("127.0.0.1:0");
+            loop {
+                std::hint::spin_loop();
+            }
+        }
+        "least" => crate::least::serve(&addresses(argument), threads),
         // To hosts, or to the daemon.
         "plain" => {
             application(
@@ -134,6 +145,29 @@
     });
 }
 
+/// The daemon with several engines.
+fn engines(config: &str, engines: usize, keys: bool) {
+    let mut config = Config::parse(config).expect("a good configuration");
+    if keys {
+        config = config.with_keys("{}").expect("a good configuration");
+    }
+    let listeners = nettleworks::server::bind_all(config.listen, engines).expect("it listens");
+    println!("{}", listeners[0].local_addr().expect("an address"));
+    let spare = Spare::of(&listeners).expect("descriptors");
+    let (_stop, stop) = tokio::sync::watch::channel(false);
+    let (_reload, reload) = tokio::sync::watch::channel(None);
+    let start = |((seat, config), listener): ((nettleworks_cores::Seat<_>, Config), _)| {
+        let (spare, told) = (spare.clone(), Told { stop: stop.clone(), reload: reload.clone() });
+        std::thread::spawn(move || {
+            cores::run_thread(seat, async |seat| {
+                cores::serve(seat, config, std::rc::Rc::new(|_: &str| ()), listener, spare, told).await
+            })
+        })
+    };
+    let threads: Vec<_> = cores::seats(&config, engines).into_iter().zip(listeners).map(start).collect();
+    threads.into_iter().for_each(|thread| drop(thread.join()));
+}
+
 fn daemon(config: &str, keys: bool) {
     let mut config = Config::parse(config).expect("a good configuration");
     if keys {
--- a/policy/src/api.rs
+++ b/policy/src/api.rs
@@ -129,7 +129,7 @@
     pub tick: Micros,
     /// Whether news of the server list must be asked for.
     pub ask: bool,
-    /// Whether other balancers of the same process send to the same servers: room there is told by [`Event::Room`],
+    /// Whether other balancers of the same process send to the same servers: room there is told by [`Event::Rooms`],
     /// and until it is told there is none.
     pub shared: bool,
     /// Classes of calls.
@@ -275,6 +275,17 @@
     Grown,
 }
 
+/// A balancer's room at a server that others of its process send to as well.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Room {
+    /// Which server.
+    pub server: ServerId,
+    /// So many calls of this balancer may be in flight there.
+    pub room: u32,
+    /// Whether one more may go, as a trial.
+    pub trial: bool,
+}
+
 /// A server that would be sent more if it might ([`crate::Balancer::short`]).
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Short {
@@ -284,6 +295,8 @@
     pub room: bool,
     /// A trial would go there, if it might.
     pub trial: bool,
+    /// Its answers take longer than they should: others come first.
+    pub strained: bool,
 }
 
 /// What the proxy tells the balancer.
@@ -361,15 +374,11 @@
         /// Which.
         call: CallId,
     },
-    /// Room at a server, where it is shared ([`Settings::shared`]): it stands in the place of this balancer's own
-    /// budget there.
-    Room {
-        /// Which server.
-        server: ServerId,
-        /// So many calls of this balancer may be in flight there.
-        room: u32,
-        /// Whether one more may go, as a trial.
-        trial: bool,
+    /// Room at servers, where it is shared ([`Settings::shared`]): it stands in the place of this balancer's own budget
+    /// there. All of it holds at once: less at one server may have come with more at another.
+    Rooms {
+        /// The servers where it has changed.
+        rooms: Vec<Room>,
     },
     /// Another balancer of the process has learned something of a server.
     Heard {
--- a/policy/src/balance.rs
+++ b/policy/src/balance.rs
@@ -252,7 +252,7 @@
         // A call that comes behind others changes nothing for them; in overload most do.
         let stands = matches!(event, Event::Request { .. }) && !self.hold.is_empty();
         // Room that has come is used before a call that waited for it is given up.
-        let room = matches!(event, Event::Room { .. });
+        let room = matches!(event, Event::Rooms { .. });
         match event {
             Event::Start if self.settings.ask => actions.push(Action::Subscribe),
             Event::Members { kind, entries } => self.members(now, kind, &entries),
@@ -295,9 +295,11 @@
             }
             // Of several alarms only the one due now counts: else each would set another for good.
             Event::Timer if now >= self.timer_at => self.timer_at = Micros::MAX,
-            Event::Room { server, room, trial } => {
-                let place = self.servers.binary_search_by_key(&server, |s| s.id);
-                place.into_iter().for_each(|at| self.servers[at].room = Some((room, trial)));
+            Event::Rooms { rooms } => {
+                for Room { server, room, trial } in rooms {
+                    let place = self.servers.binary_search_by_key(&server, |s| s.id);
+                    place.into_iter().for_each(|at| self.servers[at].room = Some((room, trial)));
+                }
             }
             Event::Heard { server, news, age } => self.heard(now, server, news, age),
             Event::Timer | Event::Start | Event::Probed { .. } => {}
--- a/policy/src/balance/shared.rs
+++ b/policy/src/balance/shared.rs
@@ -21,6 +21,12 @@
         place.is_ok_and(|at| self.servers[at].budget.trial_out)
     }
 
+    /// Whether a server's answers take longer than they should.
+    pub fn strained(&self, server: ServerId) -> bool {
+        let place = self.servers.binary_search_by_key(&server, |s| s.id);
+        place.is_ok_and(|at| self.servers[at].strain > 1.0)
+    }
+
     /// The servers to which calls would go if there were room there, or if a trial might go.
     pub fn short(&self, now: Micros) -> impl Iterator<Item = Short> + '_ {
         let (rules, longest) = (&self.settings.rules, self.longest_usual());
@@ -29,7 +35,7 @@
             let room = s.usable(now, self.served, rules) && s.full(now, rules);
             let returns = s.budget.steps == 0 && s.budget.trial_ready(now) && s.open(now, self.served, rules);
             let trial = !may_try && (returns || room && s.tryable(now, longest, rules));
-            (room || trial).then_some(Short { server: s.id, room, trial })
+            (room || trial).then_some(Short { server: s.id, room, trial, strained: s.strain > 1.0 })
         })
     }
 
--- /dev/null
+++ b/policy/tests/shared.rs
@@ -0,0 +1,86 @@
+//! Room that is shared with other balancers of the process, and what they have learned.
+
+mod common;
+
+use common::{settings, Proxy, MS};
+use nettleworks_policy::{Action, Event, Load, News, Outcome, Repeat, Room, ServerId, Settings};
+
+fn shared(servers: u32) -> Proxy {
+    let settings = Settings { shared: true, balancers: 1, ..settings(Repeat::Free) };
+    Proxy::new(settings, servers)
+}
+
+fn room(proxy: &mut Proxy, rooms: &[(u32, u32, bool)]) -> Vec<Action> {
+    let room = |&(server, room, trial)| Room { server: ServerId(server), room, trial };
+    proxy.event(Event::Rooms { rooms: rooms.iter().map(room).collect() })
+}
+
+fn sent(actions: &[Action]) -> Vec<u32> {
+    let server = |action: &Action| match action {
+        Action::Send { server, .. } => Some(server.0),
+        _ => None,
+    };
+    actions.iter().filter_map(server).collect()
+}
+
+/// Without room a call waits, and it goes as soon as there is some; never one more than there is.
+#[test]
+fn calls_go_where_there_is_room_and_no_further() {
+    let mut proxy = shared(2);
+    for _ in 0..5 {
+        assert_eq!(sent(&proxy.call().1), []);
+    }
+    assert_eq!(proxy.balancer.held(), 5);
+    let short: Vec<u32> = proxy.balancer.short(proxy.now).map(|short| short.server.0).collect();
+    assert_eq!(short, [1, 2]);
+    let mut went = sent(&room(&mut proxy, &[(1, 2, false), (2, 1, false)]));
+    went.sort_unstable();
+    assert_eq!(went, [1, 1, 2]);
+    assert_eq!(sent(&room(&mut proxy, &[(1, 2, true)])), [1], "a trial goes beyond");
+    assert!(proxy.balancer.trying(ServerId(1)));
+    assert_eq!(proxy.balancer.held(), 1);
+}
+
+/// Less at one server comes with more at another: nothing goes by what held before.
+#[test]
+fn rooms_change_at_once() {
+    let mut proxy = shared(2);
+    room(&mut proxy, &[(1, 1, false), (2, 0, false)]);
+    room(&mut proxy, &[(1, 0, false), (2, 1, false)]);
+    assert_eq!(sent(&proxy.call().1), [2]);
+}
+
+/// A call whose time is nearly up goes if the room for it comes in the same moment.
+#[test]
+fn room_that_has_come_is_used_before_a_call_is_given_up() {
+    let mut proxy = shared(1);
+    proxy.call();
+    proxy.now += 5_000 * MS;
+    assert_eq!(sent(&room(&mut proxy, &[(1, 1, false)])), [1]);
+}
+
+/// What another has learned holds here, unless this one has learned better since.
+#[test]
+fn what_others_learned_holds_until_this_one_knows_better() {
+    let mut proxy = shared(2);
+    let one = ServerId(1);
+    let heard = |proxy: &mut Proxy, news, age| proxy.event(Event::Heard { server: one, news, age });
+    let allows = |proxy: &Proxy| proxy.balancer.allows(proxy.now, one);
+    let first = allows(&proxy);
+    assert!(first > 0.0);
+    heard(&mut proxy, News::Grown, MS);
+    assert!(allows(&proxy) > first, "one trial of the process is everybody's");
+    heard(&mut proxy, News::SetAside, MS);
+    assert_eq!(allows(&proxy), 0.0);
+    heard(&mut proxy, News::TakenBack, MS);
+    assert!(allows(&proxy) > 0.0);
+    // It has served here since: the older word says nothing.
+    room(&mut proxy, &[(1, 1, false), (2, 0, false)]);
+    let (call, actions) = proxy.call();
+    assert_eq!(sent(&actions), [1]);
+    proxy.now += 10 * MS;
+    let (outcome, load) = (Outcome::Served, Load::default());
+    proxy.event(Event::Outcome { call, attempt: 0, outcome, elapsed: 10 * MS, closed: true, load });
+    heard(&mut proxy, News::SetAside, 20 * MS);
+    assert!(allows(&proxy) > 0.0);
+}
--- a/proxy/tests/cores.rs
+++ b/proxy/tests/cores.rs
@@ -237,6 +237,15 @@
             asks.push(spawn_local(async move { client.ask(&text).await }));
         }
         eventually("both run", || site.counts() == [2]).await;
+        // All are taken in: what comes to a shard that has ended is refused.
+        let mut taken = 0;
+        while taken < 14 {
+            taken = 0;
+            for shard in 0..SHARDS {
+                let count = process.peers.at(shard, |driver| driver.state().requests).await;
+                taken += count.expect("it answers");
+            }
+        }
         let started = Instant::now();
         process.tear(1);
         for ask in asks.drain(..2) {
--- a/shards/cores/src/member.rs
+++ b/shards/cores/src/member.rs
@@ -9,7 +9,7 @@
 use nettleworks_engine::list::List;
 use nettleworks_engine::meter::Fresh;
 use nettleworks_engine::protocol::Protocol;
-use nettleworks_policy::{Balancer, Event, Load, Micros, News, ServerId, Short};
+use nettleworks_policy::{self as policy, Balancer, Event, Load, Micros, News, ServerId, Short};
 use nettleworks_shards::roll::Roll;
 use nettleworks_shards::room::{Held, Room, Shard, Wakes};
 use std::any::Any;
@@ -70,8 +70,8 @@
     waiting: BTreeSet<ServerId>,
     /// Where it has the trial.
     trials: Vec<ServerId>,
-    /// What the module is to hear first, and has not.
-    pending: usize,
+    /// What the module is to hear, all at once.
+    rooms: Vec<policy::Room>,
     woken: bool,
     ticked: bool,
 }
@@ -89,7 +89,7 @@
             fresh_hosts: Vec::new(),
             waiting: BTreeSet::new(),
             trials: Vec::new(),
-            pending: 0,
+            rooms: Vec::new(),
             woken: false,
             ticked: false,
         }
@@ -119,15 +119,14 @@
         self.hub.wake(known.room.give(self.me, keep));
     }
 
-    /// Tells the module what it has at a host, if that is new.
-    fn tell_module(&mut self, server: ServerId, events: &mut VecDeque<Event>) {
+    /// The module is to hear what it has at a host, if that is new.
+    fn tell_module(&mut self, server: ServerId) {
         let Some(known) = self.hosts.get_mut(&server) else { return };
         let held = known.room.held(self.me);
         let now = (held.lease, held.trial);
         if known.told != now {
             known.told = now;
-            events.push_front(Event::Room { server, room: held.lease, trial: held.trial });
-            self.pending += 1;
+            self.rooms.push(policy::Room { server, room: held.lease, trial: held.trial });
         }
     }
 
@@ -149,11 +148,12 @@
     }
 
     /// Calls wait: takes room for them, or the trial, or else waits.
-    fn ask(&mut self, now: Micros, balancer: &Balancer, held: usize, events: &mut VecDeque<Event>) {
+    fn ask(&mut self, now: Micros, balancer: &Balancer, held: usize) {
         let mut short: Vec<Short> = balancer.short(now).collect();
         // Each shard begins elsewhere, and always there: what it uses it goes on using.
         let begin = self.me * short.len() / self.hub.sizes.shards;
         short.rotate_left(begin);
+        short.sort_by_key(|at| at.strained);
         let mut need = held.min(TAKE_MOST);
         // One more than is needed, as a choice of two is better than none.
         let mut wanted = need + 1;
@@ -168,13 +168,13 @@
                 }
             }
         }
-        short.iter().for_each(|at| self.tell_module(at.server, events));
+        short.iter().for_each(|at| self.tell_module(at.server));
         for at in short.iter().filter(|at| at.trial) {
             let Some(known) = self.hosts.get(&at.server) else { continue };
             if need > 0 && known.room.take_trial(self.me) {
                 need -= 1;
                 self.trials.push(at.server);
-                self.tell_module(at.server, events);
+                self.tell_module(at.server);
             }
         }
         if need == 0 {
@@ -184,7 +184,7 @@
         for at in short.iter().filter(|at| at.room) {
             let Some(known) = self.hosts.get(&at.server) else { continue };
             if known.room.take_or_wait(self.me) {
-                self.tell_module(at.server, events);
+                self.tell_module(at.server);
             } else if self.waiting.insert(at.server) {
                 let spares = |&shard: &Shard| shard != self.me && known.room.held(shard).spare() > 0;
                 (0..self.hub.sizes.shards).filter(spares).for_each(|shard| wakes.0 |= 1 << shard);
@@ -194,30 +194,30 @@
     }
 
     /// Nothing waits here any more.
-    fn wait_no_more(&mut self, events: &mut VecDeque<Event>) {
+    fn wait_no_more(&mut self) {
         for server in std::mem::take(&mut self.waiting) {
             if let Some(known) = self.hosts.get(&server) {
                 known.room.wait_no_more(self.me);
                 // It may have been given some just now.
                 self.give(known, 1);
-                self.tell_module(server, events);
+                self.tell_module(server);
             }
         }
     }
 
     /// The trials that are not out go back.
-    fn give_trials(&mut self, balancer: &Balancer, events: &mut VecDeque<Event>) {
+    fn give_trials(&mut self, balancer: &Balancer) {
         for server in std::mem::take(&mut self.trials) {
             let Some(known) = self.hosts.get(&server) else { continue };
             if balancer.trying(server) || !known.room.give_trial(self.me) && known.room.held(self.me).trial {
                 self.trials.push(server);
             } else {
-                self.tell_module(server, events);
+                self.tell_module(server);
             }
         }
     }
 
-    fn look_at_all(&mut self, now: Micros, balancer: &Balancer, events: &mut VecDeque<Event>) {
+    fn look_at_all(&mut self, now: Micros, balancer: &Balancer) {
         let servers: Vec<ServerId> = self.hosts.keys().copied().collect();
         let ticked = std::mem::take(&mut self.ticked);
         let mut choices = 0;
@@ -233,8 +233,8 @@
                 // What is not used now is wanted next door.
                 self.give(known, 0);
             } else if ticked {
-                // A choice of two is kept where nobody else wants it.
-                let keep = used || choices < CHOICES;
+                // A choice of two is kept where nobody else wants it, and no room where others do better.
+                let keep = (used || choices < CHOICES) && !balancer.strained(server);
                 self.give(known, u32::from(keep) + known.room.held(self.me).in_flight / 2);
             }
             choices += usize::from(known.room.held(self.me).spare() > 0);
@@ -242,7 +242,7 @@
             if known.room.held(self.me).spare() > 0 {
                 self.waiting.remove(&server);
             }
-            self.tell_module(server, events);
+            self.tell_module(server);
         }
     }
 }
@@ -311,11 +311,6 @@
     }
 
     fn settle(&mut self, now: Micros, balancer: &Balancer, events: &mut VecDeque<Event>) {
-        // What it was told before comes first, one event each time.
-        self.pending = self.pending.saturating_sub(1);
-        if self.pending > 0 {
-            return;
-        }
         let held = balancer.held();
         for server in std::mem::take(&mut self.heard) {
             self.allow(now, balancer, server);
@@ -330,26 +325,31 @@
             if held == 0 {
                 self.yield_room(server, held);
             }
-            self.tell_module(server, events);
+            self.tell_module(server);
         }
         let ended = std::mem::take(&mut *self.ended.borrow_mut());
         for &server in &ended {
             self.yield_room(server, held);
             self.hosts.get_mut(&server).into_iter().for_each(|known| known.used = true);
-            self.tell_module(server, events);
+            self.tell_module(server);
         }
         self.heard = ended;
         self.heard.append(&mut self.fresh_hosts);
         if !self.trials.is_empty() {
-            self.give_trials(balancer, events);
+            self.give_trials(balancer);
         }
         if self.woken || self.ticked {
-            self.look_at_all(now, balancer, events);
+            self.look_at_all(now, balancer);
         }
-        if held > 0 && self.pending == 0 {
-            self.ask(now, balancer, held, events);
+        // What has just come may be enough.
+        if held > 0 && self.rooms.is_empty() {
+            self.ask(now, balancer, held);
         } else if held == 0 && !self.waiting.is_empty() {
-            self.wait_no_more(events);
+            self.wait_no_more();
+        }
+        if !self.rooms.is_empty() {
+            // It is handled before this comes again.
+            events.push_front(Event::Rooms { rooms: std::mem::take(&mut self.rooms) });
         }
     }
 
--- a/shards/src/room.rs
+++ b/shards/src/room.rs
@@ -230,6 +230,11 @@
 
     /// Takes up to `most` of what is free. Nothing while others wait: who comes must not pass them.
     pub fn take(&self, shard: Shard, most: u32) -> u32 {
+        // Where there is none, looking is cheaper than trying: others change this word too.
+        let at = Free::read(self.free.load(Ordering::Acquire));
+        if at.free <= 0 || at.waiting & !(1 << shard) != 0 {
+            return 0;
+        }
         let taken = self.change_free(|mut at| {
             if at.waiting & !(1 << shard) != 0 {
                 return (at, 0);
@@ -253,6 +258,11 @@
 
     /// Takes a unit if there is one; else the shard waits, and is woken when it has been given one. `true`: it has one.
     pub fn take_or_wait(&self, shard: Shard) -> bool {
+        let at = Free::read(self.free.load(Ordering::Acquire));
+        if at.free <= 0 && at.waiting & (1 << shard) != 0 {
+            // It waits already.
+            return false;
+        }
         let taken = self.change_free(|mut at| {
             let taken = at.free > 0;
             at.free -= i32::from(taken);
