--- a/proxy/tests/operators.rs
+++ b/proxy/tests/operators.rs
@@ -36,6 +36,17 @@
         hosts: &[Host],
         classes: &str,
         change: impl FnOnce(&mut serde_json::Value),
+    ) -> Running {
+        Running::start_with(&[], name, hosts, classes, change).await
+    }
+
+    /// The same with further words on the command line.
+    async fn start_with(
+        words: &[&str],
+        name: &str,
+        hosts: &[Host],
+        classes: &str,
+        change: impl FnOnce(&mut serde_json::Value),
     ) -> Running {
         let folder = Path::new(env!("CARGO_TARGET_TMPDIR"));
         // The path of a socket must be short.
@@ -48,6 +59,7 @@
         std::fs::write(&config, configuration(discovery.address, hosts, change)).expect("written");
         let mut child = Command::new(PROGRAM)
             .args([&config, Path::new("--keys"), &keys])
+            .args(words)
             .stderr(Stdio::piped())
             .spawn()
             .expect("it starts");
@@ -165,6 +177,38 @@
     });
 }
 
+/// With several engines the socket is one: keys of all are listed, and each is settled at its own.
+#[test]
+fn keys_of_all_engines_are_listed_and_settled() {
+    run(async {
+        let host = Host::start([Act::Reset]).await;
+        let one_attempt = |config: &mut serde_json::Value| {
+            config["settings"]["limits"]["max_attempts"] = 1.into();
+        };
+        let words = ["--cores", "4"];
+        let proxy = Running::start_with(&words, "cores", from_ref(&host), "{}", one_attempt).await;
+        for key in 0..8 {
+            proxy.unsure(&format!("of-all-{key}")).await;
+        }
+        let (good, text) = proxy.says(&["list", "--state", "unsure"]).await;
+        assert!(good && text.contains("8 of 8 keys"), "{text}");
+        let ids: Vec<&str> = text.lines().skip(1).filter_map(|line| line.split(' ').next()).collect();
+        let mut engines: Vec<&str> = ids.iter().filter_map(|id| Some(id.split_once('/')?.0)).collect();
+        engines.sort_unstable();
+        engines.dedup();
+        assert!(ids.len() == 8 && engines.len() > 1, "{text}");
+        for id in &ids {
+            let (good, text) = proxy.says(&["settle", id, "--as", "ran", "--why", "x"]).await;
+            assert!(good, "{text}");
+        }
+        let (_, text) = proxy.says(&["list", "--state", "ran"]).await;
+        assert!(text.contains("8 of 8 keys"), "{text}");
+        for id in ["0-1", "9/0-1", "x/0-1"] {
+            assert!(!proxy.says(&["show", id]).await.0, "{id}");
+        }
+    });
+}
+
 /// Two settle one key at once, one as run, one as never run: one of them is told that it was late, and one word holds.
 #[test]
 fn of_two_who_settle_a_key_at_once_one_does() {
