--- a/library/tests/serve_4.rs
+++ b/library/tests/serve_4.rs
@@ -1,37 +1,9 @@
 //! The daemon's suite against `fleet.serve` with four engines that serve as one.
 
-mod form {
-    use nettleworks_client::{listen, Fleet};
-    use std::net::SocketAddr;
-    use std::time::Duration;
-    use tokio::sync::oneshot;
-    use tokio::task::{spawn_local, JoinHandle};
-
-    pub use nettleworks_standins::*;
-
-    pub struct Served;
-
-    impl Form for Served {
-        async fn start(setup: Setup, stop: oneshot::Receiver<()>) -> (SocketAddr, JoinHandle<()>) {
-            let builder = Fleet::builder().text(&setup.config).cores(4);
-            let builder = setup.keys.iter().fold(builder, |builder, keys| builder.keys(keys));
-            let fleet = builder.start().expect("a good configuration");
-            let listener = listen("127.0.0.1:0".parse().expect("an address")).expect("it listens");
-            let address = listener.local_addr().expect("an address");
-            let mut serving = fleet.serve(listener).expect("it serves");
-            let task = spawn_local(async move {
-                let _ = stop.await;
-                serving.stop();
-                serving.await.expect("it served");
-                fleet.shutdown(Duration::from_secs(1)).await.expect("all is answered");
-            });
-            (address, task)
-        }
-    }
-
-    pub type Proxy = nettleworks_standins::Proxy<Served>;
-}
+const CORES: usize = 4;
 
+#[path = "suite/served.rs"]
+mod form;
 #[path = "../../proxy/tests/suite/listening.rs"]
 mod listening;
 #[path = "../../proxy/tests/suite/mod.rs"]
