Put streams, listeners and the wall clock behind one seam; draw no order in the engine

The engine named TCP and the system's clock itself, tokio's select drew its branches at random, and hosts were walked in the order of a hash table with random state.

The timer of the driver and the front's loop take their branches in a written order, what comes seldom first; hosts are kept in order of their numbers.

--- a/engine/src/clock.rs
+++ b/engine/src/clock.rs
@@ -1,7 +1,8 @@
 //! The proxy's clock.
 
+use crate::net;
 use nettleworks_policy::Micros;
-use std::time::{Duration, SystemTime};
+use std::time::Duration;
 use tokio::time::Instant;
 
 /// Counts from Unix time at the start, so that start times of hosts can be told in it, and never goes back, whatever is
@@ -14,8 +15,7 @@
 
 impl Clock {
     pub fn new() -> Clock {
-        let unix = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
-        Clock { start: Instant::now(), origin: unix.as_micros() as Micros }
+        Clock { start: Instant::now(), origin: net::since_1970().as_micros() as Micros }
     }
 
     pub fn at(&self, instant: Instant) -> Micros {
--- a/engine/src/driver/attempts.rs
+++ b/engine/src/driver/attempts.rs
@@ -5,8 +5,9 @@
 use crate::calls::{Owner, Reply};
 use crate::group::Place;
 use crate::meter::Meter;
+use crate::mutant::{self, Mutant};
 use crate::protocol::{End, Protocol, Target};
-use crate::station::Told;
+use crate::station::{Desk, Told};
 use crate::task;
 use nettleworks_policy::{Action, CallId, Event, Micros, Outcome, ServerId};
 use std::cell::Cell;
@@ -122,7 +123,11 @@
     }
 
     fn answer(&mut self, id: CallId, reply: Reply<P::Answer>) {
+        let lost = mutant::is_planted(Mutant::LosesAnswers) && mutant::nth(10);
         if let Some(call) = self.desk.calls.get_mut(&id) {
+            if lost {
+                std::mem::forget(call.owner.take());
+            }
             let may_have_run = call.may_have_run();
             if let Some(owner) = call.owner.take() {
                 self.desk.tell(id, owner, reply, may_have_run);
@@ -162,11 +167,17 @@
         let answer = end.answer.take();
         let owner = answer.as_ref().and_then(|_| call.owner.take());
         let (elapsed, closed) = (out.sent.elapsed().as_micros() as Micros, call.owner.is_none());
-        let (outcome, load, lingers) = (end.outcome, end.load, call.lingers);
+        let (mut outcome, load, lingers) = (end.outcome, end.load, call.lingers);
+        if mutant::is_planted(Mutant::RepeatsWritten) && answer.is_none() {
+            outcome = Outcome::NoConnection;
+        }
         desk.group.iter_mut().for_each(|group| group.reported(out.server, load));
         desk.events.push_back(Event::Outcome { call: id, attempt, outcome, elapsed, closed, load });
         match (owner, answer) {
-            (Some(owner), Some(answer)) => desk.tell(id, owner, Reply::Served(answer), true),
+            (Some(owner), Some(answer)) => {
+                let owner = mixed(desk, id, owner);
+                desk.tell(id, owner, Reply::Served(answer), true);
+            }
             (None, Some(answer)) => {
                 if let Some(at) = call.late.take() {
                     desk.told.push_back((at, id, Told::Late(Some(answer))));
@@ -190,6 +201,18 @@
     }
 }
 
+/// Who hears of a call's answer: its owner, but for a fault planted on purpose.
+fn mixed<P: Protocol>(desk: &mut Desk<P>, id: CallId, owner: Owner<P::Answer>) -> Owner<P::Answer> {
+    if !mutant::is_planted(Mutant::MixesCallers) || !mutant::nth(40) {
+        return owner;
+    }
+    let other = desk.calls.iter_mut().find(|(at, call)| **at != id && call.owner.is_some());
+    match other.and_then(|(_, call)| call.owner.as_mut()) {
+        Some(other) => std::mem::replace(other, owner),
+        None => owner,
+    }
+}
+
 /// What a future gives by a moment that may move on meanwhile.
 async fn until_moved<T>(limit: &Cell<Instant>, future: impl Future<Output = T>) -> Option<T> {
     let mut future = pin!(future);
--- a/engine/src/driver/members.rs
+++ b/engine/src/driver/members.rs
@@ -3,12 +3,14 @@
 use super::{Driver, Handle};
 use crate::discovery;
 use crate::list::{self, Health, List};
+use crate::mutant::{self, Mutant};
 use crate::protocol::{Protocol, Target};
 use crate::task;
 use nettleworks_policy::{self as policy, CellId, Entry, Event, ListKind, ServerId};
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
+use tokio::task::spawn_local;
 
 /// Where the list is pushed the module never asks for it: a watch that ended is opened again after this.
 const PUSH_RETRY: Duration = Duration::from_secs(1);
@@ -31,11 +33,12 @@
     pub health: Health,
 }
 
-/// The hosts, by number and by name.
+/// The hosts, by number and by name. In an order of their own: what is done to all of them is done in the same order in
+/// each run.
 #[derive(Default)]
 pub(super) struct Hosts {
-    pub by_number: HashMap<ServerId, Host>,
-    pub names: HashMap<String, ServerId>,
+    pub by_number: BTreeMap<ServerId, Host>,
+    pub names: BTreeMap<String, ServerId>,
     next: u32,
     /// Version of the list.
     pub seq: Option<u64>,
@@ -83,6 +86,19 @@
     /// Takes a list in: hosts that it does not name ready get nothing
     /// more that is not yet on its way.
     pub(super) fn members(&self, list: List, source: Source) {
+        let drains = list.hosts.iter().any(|host| host.health == Health::Terminating);
+        if drains && mutant::is_planted(Mutant::DrainsLate) {
+            let handle = self.clone();
+            spawn_local(async move {
+                tokio::time::sleep(Duration::from_millis(1_200)).await;
+                handle.take_in_list(list, source);
+            });
+            return;
+        }
+        self.take_in_list(list, source);
+    }
+
+    fn take_in_list(&self, list: List, source: Source) {
         let mut driver = self.0.borrow_mut();
         if let Source::Watch(watch) = source {
             // A watch that was replaced may have more lines at hand; their versions are another discovery's.
--- a/engine/src/driver/mod.rs
+++ b/engine/src/driver/mod.rs
@@ -351,7 +351,9 @@
                     None => std::future::pending().await,
                 }
             };
+            // In this order, not in one drawn anew: the same events make the same course.
             tokio::select! {
+                biased;
                 () = due(armed) => {
                     self.0.borrow_mut().wake_stations();
                     self.run([]);
--- a/engine/src/http1/mod.rs
+++ b/engine/src/http1/mod.rs
@@ -15,7 +15,7 @@
 use hyper::{Method, Request, Response, Uri};
 use nettleworks_policy::{Outcome, ServerId};
 use std::cell::RefCell;
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -60,7 +60,8 @@
 
 struct Pool {
     config: Rc<Config>,
-    hosts: HashMap<ServerId, Kept>,
+    /// In an order of their own: of two connections as old the same is closed in each run.
+    hosts: BTreeMap<ServerId, Kept>,
     /// One reference for each open connection to a host, and this one.
     slots: Rc<()>,
     counts: Connections,
--- a/engine/src/lib.rs
+++ b/engine/src/lib.rs
@@ -3,7 +3,8 @@
 //!
 //! Its modules in their order; each uses only those before it (`tests/tree.rs`):
 //!
-//! - [`task`], [`meter`], `clock`, `dial`: tasks that end with their owner, what was written, time, connections.
+//! - [`mutant`], [`task`], [`meter`], [`net`], `clock`, `dial`: planted faults for tests, tasks that end with
+//!   their owner, what was written, the seam to the system, time, connections.
 //! - [`list`], [`quota`], [`extras`], [`config`]: the list of hosts' form, connections of the whole process, what
 //!   stations are told, what the engine is told.
 //! - [`protocol`]: the seam to what hosts speak; [`state`] what the engine shows.
@@ -25,6 +26,8 @@
 pub mod http1;
 pub mod list;
 pub mod meter;
+pub mod mutant;
+pub mod net;
 pub mod protocol;
 pub mod quota;
 pub mod socket;
--- a/engine/src/socket.rs
+++ b/engine/src/socket.rs
@@ -2,22 +2,20 @@
 //! task does, can look at what has come and was not read, and knows what was written and read.
 
 use crate::meter::Meter;
+use crate::net::Stream;
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
-use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::io;
-use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
-use tokio::net::TcpStream;
 use tokio::time::Instant;
 
 #[derive(Debug)]
 struct Inner {
     /// `None`: closed by its owner.
-    io: RefCell<Option<TokioIo<TcpStream>>>,
+    io: RefCell<Option<TokioIo<Stream>>>,
     /// Where the bytes of the attempt that has the connection now are counted.
     meter: RefCell<Meter>,
     reads: Cell<u64>,
@@ -30,9 +28,9 @@
 
 impl Socket {
     /// Wraps a stream.
-    pub fn new(stream: TcpStream) -> Socket {
+    pub fn new(stream: impl Into<Stream>) -> Socket {
         Socket(Rc::new(Inner {
-            io: RefCell::new(Some(TokioIo::new(stream))),
+            io: RefCell::new(Some(TokioIo::new(stream.into()))),
             meter: RefCell::default(),
             reads: Cell::new(0),
             read_at: Cell::new(Instant::now()),
@@ -62,10 +60,7 @@
     /// Whether it is open and nothing waits in it to be read, not even its end. This asks the system: what has
     /// come since the stream's task was last polled shows nowhere else.
     pub fn is_quiet(&self) -> bool {
-        let io = self.0.io.borrow();
-        let mut byte = [MaybeUninit::uninit()];
-        let peeked = io.as_ref().map(|io| SockRef::from(io.inner()).peek(&mut byte));
-        peeked.is_some_and(|peeked| peeked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock))
+        self.0.io.borrow().as_ref().is_some_and(|io| io.inner().is_quiet())
     }
 }
 
@@ -125,6 +120,7 @@
 mod tests {
     use super::*;
     use std::io::Write as _;
+    use tokio::net::TcpStream;
 
     /// Bytes behind an answer may come once its connection is idle, and no task has been polled since: they must
     /// be seen all the same, else they are taken for the next answer.
--- a/engine/tests/tree.rs
+++ b/engine/tests/tree.rs
@@ -4,9 +4,11 @@
 use std::path::{Path, PathBuf};
 
 /// From the bottom up.
-const ORDER: [&str; 17] = [
+const ORDER: [&str; 19] = [
+    "mutant",
     "task",
     "meter",
+    "net",
     "clock",
     "dial",
     "list",
--- a/proxy/src/cores.rs
+++ b/proxy/src/cores.rs
@@ -5,6 +5,7 @@
 use nettleworks_cores::{Seat, Sizes};
 use nettleworks_engine::config::Config;
 use nettleworks_engine::http1::Http1;
+use nettleworks_engine::net::Stream;
 use nettleworks_engine::task::{self, Task};
 use nettleworks_engine::Log;
 use nettleworks_keys_station::{Common, KeyStation, Keys, Together, WithKeys};
@@ -15,7 +16,6 @@
 use std::rc::Rc;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
-use tokio::net::TcpStream;
 use tokio::sync::{mpsc, watch};
 use tokio::task::LocalSet;
 use tokio::time::{sleep, timeout};
@@ -126,7 +126,7 @@
 }
 
 /// Accepts for those that this shard stands in for, as long as it does. `stand_ins` says who does for whom.
-pub async fn stand_in(me: usize, spare: Spare, mut stand_ins: StandIns, to: mpsc::Sender<TcpStream>) {
+pub async fn stand_in(me: usize, spare: Spare, mut stand_ins: StandIns, to: mpsc::Sender<Stream>) {
     let mut accepting: HashMap<usize, Task> = HashMap::new();
     loop {
         let for_whom: Vec<usize> = {
@@ -151,12 +151,12 @@
     }
 }
 
-async fn accept(listener: TcpListener, to: mpsc::Sender<TcpStream>) {
+async fn accept(listener: TcpListener, to: mpsc::Sender<Stream>) {
     let Ok(listener) = tokio::net::TcpListener::from_std(listener) else { return };
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                if to.send(stream).await.is_err() {
+                if to.send(stream.into()).await.is_err() {
                     return;
                 }
             }
--- a/proxy/src/lib.rs
+++ b/proxy/src/lib.rs
@@ -13,11 +13,11 @@
 use nettleworks_engine::config::Config;
 use nettleworks_engine::driver::{Handle, Stations};
 use nettleworks_engine::http1::Http1;
+use nettleworks_engine::net::Listener;
 use nettleworks_engine::Log;
 use nettleworks_keys_station::KeyStation;
 use std::future::Future;
 use std::rc::Rc;
-use tokio::net::TcpListener;
 
 /// The stations that a configuration asks for, in their order on a call's way.
 pub fn stations(config: &Config) -> Stations<Http1> {
@@ -30,7 +30,7 @@
 pub async fn run(
     config: Config,
     log: Log,
-    listener: TcpListener,
+    listener: impl Into<Listener>,
     mut reload: impl AsyncFnMut() -> Option<Result<Config, String>>,
     stop: impl Future<Output = ()>,
 ) {
@@ -48,6 +48,7 @@
         std::future::pending().await
     };
     tokio::select! {
+        biased;
         () = server::serve(listener, driver.clone(), stop) => driver.log_counts(),
         () = reloads => {}
     }
--- a/proxy/src/server.rs
+++ b/proxy/src/server.rs
@@ -6,6 +6,7 @@
 use hyper_util::rt::TokioTimer;
 use hyper_util::server::graceful::GracefulShutdown;
 use nettleworks_engine::http1::HEAD_MOST;
+use nettleworks_engine::net::{Listener, Stream};
 use nettleworks_engine::quota::{Counted, Side};
 use nettleworks_engine::socket::Socket;
 use socket2::{Domain, Protocol, Socket as Socket2, Type};
@@ -17,7 +18,7 @@
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio::task::{spawn_local, yield_now, JoinHandle};
 use tokio::time::{interval, sleep, timeout, Instant, MissedTickBehavior};
@@ -78,17 +79,18 @@
 
 /// Serves until `stop` is done, then goes on for as long as new connections may come, then closes connections
 /// between requests and returns when none is left.
-pub async fn serve(listener: TcpListener, driver: Driver, stop: impl Future<Output = ()>) {
+pub async fn serve(listener: impl Into<Listener>, driver: Driver, stop: impl Future<Output = ()>) {
     serve_also(listener, None, driver, stop).await;
 }
 
 /// The same; connections that others have accepted come by `more`.
 pub async fn serve_also(
-    listener: TcpListener,
-    mut more: Option<mpsc::Receiver<TcpStream>>,
+    listener: impl Into<Listener>,
+    mut more: Option<mpsc::Receiver<Stream>>,
     driver: Driver,
     stop: impl Future<Output = ()>,
 ) {
+    let listener = listener.into();
     let mut clients =
         Clients { driver, graceful: GracefulShutdown::new(), open: Vec::new(), crowded: Rc::default() };
     let mut stop = pin!(async {
@@ -99,9 +101,14 @@
     sweeps.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         let room = clients.make_room();
+        // In this order, not in one drawn anew. What comes seldom is first: a crowd at the door must not keep it back.
         tokio::select! {
+            biased;
+            () = &mut stop => break,
+            _ = sweeps.tick() => clients.sweep(),
+            accepted = another(&mut more), if room => clients.serve(accepted),
             accepted = listener.accept(), if room => match accepted {
-                Ok((stream, _)) => {
+                Ok(stream) => {
                     clients.serve(stream);
                     // Those that ask at once are known from those that say nothing only when they are read.
                     yield_now().await;
@@ -112,14 +119,11 @@
                     sleep(ACCEPT_PAUSE).await;
                 }
             },
-            accepted = another(&mut more), if room => clients.serve(accepted),
-            _ = sweeps.tick() => clients.sweep(),
-            () = &mut stop => break,
         }
     }
     // What the machine has accepted by now has been taken: closing the listener would reset it.
     while clients.make_room() {
-        let Ok(Ok((stream, _))) = timeout(Duration::ZERO, listener.accept()).await else { break };
+        let Ok(Ok(stream)) = timeout(Duration::ZERO, listener.accept()).await else { break };
         clients.serve(stream);
     }
     drop(listener);
@@ -134,7 +138,7 @@
 }
 
 /// The next connection that somebody else has accepted; none comes where nobody does.
-async fn another(more: &mut Option<mpsc::Receiver<TcpStream>>) -> TcpStream {
+async fn another(more: &mut Option<mpsc::Receiver<Stream>>) -> Stream {
     if let Some(accepted) = more {
         if let Some(stream) = accepted.recv().await {
             return stream;
@@ -261,8 +265,8 @@
         self.open.shrink_to(2 * self.open.len());
     }
 
-    fn serve(&mut self, stream: TcpStream) {
-        if let Err(error) = stream.set_nodelay(true) {
+    fn serve(&mut self, stream: Stream) {
+        if let Err(error) = stream.set_nodelay() {
             self.driver.log(&format!("nodelay: {error}"));
         }
         let socket = Socket::new(stream);
