--- a/engine/src/mutant.rs
+++ b/engine/src/mutant.rs
@@ -55,6 +55,6 @@
 
     pub(crate) fn nth(of: u32) -> bool {
         COUNT.set(COUNT.get().wrapping_add(1));
-        COUNT.get() % of == 0
+        COUNT.get().is_multiple_of(of)
     }
 }
--- /dev/null
+++ b/lab/src/baseline/mod.rs
@@ -0,0 +1,253 @@
+//! What a team would pick instead of our decision module, on the same interface: they are told the same and can do the
+//! same. They retry what proves that it never ran, and what their class lets run again, and know nothing of pods,
+//! windows, cold hosts or budgets in flight.
+
+mod choice;
+mod envoy;
+
+use choice::{Choice, Picker};
+use envoy::{Ejections, RetryBudget};
+use nettleworks_policy::{
+    self as policy, Action, Balancer, CallId, Event, ListKind, Outcome, Repeat, ServerId, State,
+};
+use policy::Micros;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Decides for a proxy.
+pub trait Decide {
+    /// Takes an event and says what to do.
+    fn handle(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>);
+}
+
+impl Decide for Balancer {
+    fn handle(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
+        Balancer::handle(self, now, event, actions);
+    }
+}
+
+/// Who decides.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize, clap::ValueEnum)]
+#[serde(rename_all = "kebab-case")]
+pub enum Picks {
+    /// Our decision module.
+    Ours,
+    /// Any ready host.
+    Random,
+    /// One after the other.
+    RoundRobin,
+    /// The one with fewer requests out, of two.
+    LeastOfTwo,
+    /// The one with the lower peak-sensitive mean of answer times, times requests out, of two (as Finagle's).
+    PeakEwma,
+    /// The one with fewer requests out, of two, with a retry budget and outlier ejection, by Envoy's defaults.
+    Envoy,
+}
+
+impl Picks {
+    /// All, ours first.
+    pub const ALL: [Picks; 6] =
+        [Picks::Ours, Picks::Random, Picks::RoundRobin, Picks::LeastOfTwo, Picks::PeakEwma, Picks::Envoy];
+
+    /// Its name in tables.
+    pub fn name(self) -> &'static str {
+        match self {
+            Picks::Ours => "ours",
+            Picks::Random => "random",
+            Picks::RoundRobin => "round robin",
+            Picks::LeastOfTwo => "least of two",
+            Picks::PeakEwma => "peak EWMA",
+            Picks::Envoy => "as Envoy",
+        }
+    }
+
+    /// One that decides, of a seed.
+    pub(crate) fn make(self, seed: u64, settings: policy::Settings) -> Box<dyn Decide> {
+        let choice = match self {
+            Picks::Ours => return Box::new(Balancer::new(seed, settings)),
+            Picks::Random => Choice::Random,
+            Picks::RoundRobin => Choice::RoundRobin,
+            Picks::LeastOfTwo | Picks::Envoy => Choice::LeastOfTwo,
+            Picks::PeakEwma => Choice::PeakEwma,
+        };
+        Box::new(Plain::new(seed, settings, choice, self == Picks::Envoy))
+    }
+}
+
+/// A watch of the list that has failed is asked for again after this.
+const ASK_AGAIN: Micros = 1_000_000;
+/// What a refused client is told.
+const COME_BACK: Micros = 1_000_000;
+/// Tries of a request in all, where there is no retry budget: as many as our module is allowed.
+const TRIES: usize = 3;
+
+struct Call {
+    repeat: Repeat,
+    deadline: Micros,
+    attempts: Vec<(ServerId, Option<Outcome>)>,
+    /// It waits to be tried again.
+    waits: bool,
+}
+
+impl Call {
+    fn out(&self) -> bool {
+        self.attempts.iter().any(|(_, outcome)| outcome.is_none())
+    }
+}
+
+/// A plain balancer.
+struct Plain {
+    settings: policy::Settings,
+    picker: Picker,
+    calls: BTreeMap<CallId, Call>,
+    /// Calls that wait, by when they go.
+    later: BTreeSet<(Micros, CallId)>,
+    subscribe_at: Option<Micros>,
+    envoy: Option<(RetryBudget, Ejections)>,
+}
+
+impl Plain {
+    fn new(seed: u64, settings: policy::Settings, choice: Choice, envoy: bool) -> Plain {
+        Plain {
+            settings,
+            picker: Picker::new(seed, choice),
+            calls: BTreeMap::new(),
+            later: BTreeSet::new(),
+            subscribe_at: None,
+            envoy: envoy.then(Default::default),
+        }
+    }
+
+    fn try_call(&mut self, now: Micros, id: CallId, actions: &mut Vec<Action>) {
+        let Some(call) = self.calls.get_mut(&id) else { return };
+        call.waits = false;
+        let tried: Vec<ServerId> = call.attempts.iter().map(|(server, _)| *server).collect();
+        if let Some((_, ejections)) = &mut self.envoy {
+            ejections.look(now, &mut self.picker);
+        }
+        match self.picker.pick(now, &tried) {
+            Some(server) => {
+                call.attempts.push((server, None));
+                self.picker.sent(server);
+                actions.push(Action::Send { call: id, server, until: None });
+            }
+            None => self.give_up(id, actions),
+        }
+    }
+
+    /// Ends a call unserved; refused only if it surely never ran.
+    fn give_up(&mut self, id: CallId, actions: &mut Vec<Action>) {
+        let Some(call) = self.calls.remove(&id) else { return };
+        let never = call.attempts.iter().all(|(_, outcome)| outcome.is_some_and(Outcome::never_ran));
+        actions.push(match never {
+            true => Action::Refuse { call: id, retry_after: COME_BACK },
+            false => Action::Fail { call: id },
+        });
+    }
+
+    fn outcome(&mut self, now: Micros, event: &Event, actions: &mut Vec<Action>) {
+        let &Event::Outcome { call: id, attempt, outcome, elapsed, closed, .. } = event else { return };
+        let Some(call) = self.calls.get_mut(&id) else { return };
+        let Some((server, at)) = call.attempts.get_mut(attempt as usize) else { return };
+        *at = Some(outcome);
+        let server = *server;
+        self.picker.ended(now, server, outcome, elapsed);
+        if let Some((budget, ejections)) = &mut self.envoy {
+            ejections.ended(now, server, outcome, &mut self.picker);
+            if attempt > 0 {
+                budget.ended();
+            }
+        }
+        if outcome == Outcome::Served || closed || outcome == Outcome::Unusable {
+            if outcome == Outcome::Unusable && !closed {
+                return self.give_up(id, actions);
+            }
+            self.calls.remove(&id);
+            return;
+        }
+        if call.out() {
+            return;
+        }
+        let again = outcome.never_ran() || call.repeat != Repeat::SingleShot;
+        let tries = call.attempts.len();
+        let active = self.calls.len();
+        let pause = match &mut self.envoy {
+            None => (tries < TRIES).then_some(0),
+            Some((budget, _)) => budget.retry(tries, active, self.picker.share()),
+        };
+        match pause.filter(|_| again) {
+            Some(0) => self.try_call(now, id, actions),
+            Some(pause) => {
+                if let Some(call) = self.calls.get_mut(&id) {
+                    call.waits = true;
+                }
+                self.later.insert((now + pause, id));
+            }
+            None => self.give_up(id, actions),
+        }
+    }
+
+    fn due(&mut self, now: Micros, actions: &mut Vec<Action>) {
+        while let Some(&(at, id)) = self.later.first().filter(|(at, _)| *at <= now) {
+            self.later.remove(&(at, id));
+            if self.calls.get(&id).is_some_and(|call| call.waits) {
+                self.try_call(now, id, actions);
+            }
+        }
+        let late: Vec<CallId> =
+            self.calls.iter().filter(|(_, c)| c.deadline <= now && !c.out()).map(|(&id, _)| id).collect();
+        late.into_iter().for_each(|id| self.give_up(id, actions));
+        if self.subscribe_at.is_some_and(|at| at <= now) {
+            self.subscribe_at = None;
+            actions.push(Action::Subscribe);
+        }
+    }
+
+    fn wake(&self, now: Micros, actions: &mut Vec<Action>) {
+        let later = self.later.first().map(|&(at, _)| at);
+        if let Some(at) = later.into_iter().chain(self.subscribe_at).min() {
+            actions.push(Action::Wake { after: at.saturating_sub(now).max(1) });
+        }
+    }
+}
+
+impl Decide for Plain {
+    fn handle(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
+        match event {
+            Event::Start if self.settings.ask => actions.push(Action::Subscribe),
+            // Where the list is pushed, whoever carries this watches again by itself.
+            Event::Members { kind: ListKind::Failed, .. } => {
+                self.subscribe_at = self.settings.ask.then_some(now + ASK_AGAIN);
+            }
+            Event::Members { kind, entries } => {
+                if kind != ListKind::Delta {
+                    self.picker.clear();
+                }
+                for entry in entries {
+                    self.picker.list(entry.server, entry.state == State::Ready);
+                }
+            }
+            Event::Request { call, class, time_left, .. } => {
+                let repeat =
+                    self.settings.classes.get(class.0).map_or(Repeat::SingleShot, |class| class.repeat);
+                let call_of = Call { repeat, deadline: now + time_left, attempts: Vec::new(), waits: false };
+                self.calls.insert(call, call_of);
+                self.try_call(now, call, actions);
+            }
+            Event::Outcome { .. } => self.outcome(now, &event, actions),
+            Event::Gone { call } => {
+                if let Some(gone) = self.calls.remove(&call) {
+                    for (attempt, (server, outcome)) in (0..).zip(gone.attempts) {
+                        if outcome.is_none() {
+                            self.picker.forget(server);
+                            actions.push(Action::Cancel { call, attempt });
+                        }
+                    }
+                }
+            }
+            _ => {}
+        }
+        self.due(now, actions);
+        self.wake(now, actions);
+    }
+}
--- /dev/null
+++ b/lab/src/draw.rs
@@ -0,0 +1,173 @@
+//! Draws from a seed. Each is named by what it is for and by numbers of what it is about, never by its place in a
+//! sequence: a host or a call more changes no draw of the others.
+
+use crate::Micros;
+use rand::{RngExt, SeedableRng};
+use rand_distr::{Distribution, Exp1, LogNormal, Pareto, Zipf};
+use rand_pcg::Pcg64Mcg;
+use serde::{Deserialize, Serialize};
+use std::hash::Hasher;
+use twox_hash::XxHash64;
+
+/// A source of draws: PCG XSL 128/64 (MCG), seeded by XXH64 of seed and name, both the same on every machine.
+#[derive(Clone, Debug)]
+pub struct Draw(Pcg64Mcg);
+
+/// A number that stands for a seed, a name and a number.
+pub fn name(seed: u64, what: &str, first: u64) -> u64 {
+    let mut hash = XxHash64::with_seed(seed);
+    hash.write(what.as_bytes());
+    hash.write(&first.to_le_bytes());
+    hash.finish()
+}
+
+impl Draw {
+    /// Draws of a seed for what these stand for.
+    pub fn new(seed: u64, what: &str, first: u64, second: u64) -> Draw {
+        Draw(Pcg64Mcg::seed_from_u64(name(name(seed, what, first), "", second)))
+    }
+
+    /// A number from 0 to under 1.
+    pub fn share(&mut self) -> f64 {
+        self.0.random::<f64>()
+    }
+
+    /// Whether something of this chance happens.
+    pub fn happens(&mut self, chance: f64) -> bool {
+        chance > 0.0 && self.share() < chance
+    }
+
+    /// A whole number below `most`; 0 if that is 0.
+    pub fn below(&mut self, most: usize) -> usize {
+        ((self.share() * most as f64) as usize).min(most.saturating_sub(1))
+    }
+
+    /// A span with this mean between two of many independent events.
+    pub fn gap(&mut self, mean: f64) -> f64 {
+        let drawn: f64 = Exp1.sample(&mut self.0);
+        drawn * mean
+    }
+
+    /// A rank from 1 to `most` by Zipf's law.
+    pub fn rank(&mut self, most: u64, exponent: f64) -> u64 {
+        Zipf::new(most as f64, exponent).map_or(1, |law| law.sample(&mut self.0) as u64)
+    }
+
+    /// So many of `0..most`, each as likely, in rising order.
+    pub fn some_of(&mut self, count: usize, most: usize) -> Vec<usize> {
+        let mut all: Vec<usize> = (0..most).collect();
+        for place in 0..count.min(most) {
+            let other = place + self.below(most - place);
+            all.swap(place, other);
+        }
+        all.truncate(count);
+        all.sort_unstable();
+        all
+    }
+}
+
+/// How long work takes on a warm host that has nothing else to do.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "law", rename_all = "kebab-case", deny_unknown_fields)]
+pub enum Law {
+    /// Always the same.
+    Fixed {
+        /// Milliseconds.
+        ms: f64,
+    },
+    /// Exponential.
+    Exponential {
+        /// Its mean in milliseconds.
+        mean_ms: f64,
+    },
+    /// Log-normal.
+    LogNormal {
+        /// Its median in milliseconds.
+        median_ms: f64,
+        /// Standard deviation of the logarithm.
+        sigma: f64,
+    },
+    /// Pareto: a heavy tail, cut at a hundred times the least.
+    Pareto {
+        /// Its least in milliseconds.
+        least_ms: f64,
+        /// Its shape; the smaller, the heavier the tail.
+        alpha: f64,
+    },
+}
+
+impl Law {
+    /// A time in microseconds.
+    pub fn draw(&self, draw: &mut Draw) -> f64 {
+        let ms = match *self {
+            Law::Fixed { ms } => ms,
+            Law::Exponential { mean_ms } => draw.gap(mean_ms).min(20.0 * mean_ms),
+            Law::LogNormal { median_ms, sigma } => {
+                LogNormal::new(median_ms.ln(), sigma).map_or(median_ms, |law| law.sample(&mut draw.0))
+            }
+            Law::Pareto { least_ms, alpha } => Pareto::new(least_ms, alpha)
+                .map_or(least_ms, |law| law.sample(&mut draw.0))
+                .min(100.0 * least_ms),
+        };
+        ms * 1e3
+    }
+
+    /// Its mean in microseconds, for a Pareto's without its cut.
+    pub fn mean(&self) -> f64 {
+        1e3 * match *self {
+            Law::Fixed { ms } => ms,
+            Law::Exponential { mean_ms } => mean_ms,
+            Law::LogNormal { median_ms, sigma } => median_ms * (sigma * sigma / 2.0).exp(),
+            Law::Pareto { least_ms, alpha } if alpha > 1.0 => least_ms * alpha / (alpha - 1.0),
+            Law::Pareto { least_ms, .. } => 10.0 * least_ms,
+        }
+    }
+
+    /// What is wrong with its figures, if anything is.
+    pub(crate) fn fault(&self) -> Option<&'static str> {
+        let (time, shape) = match *self {
+            Law::Fixed { ms } => (ms, 1.0),
+            Law::Exponential { mean_ms } => (mean_ms, 1.0),
+            Law::LogNormal { median_ms, sigma } => (median_ms, sigma + 1e-9),
+            Law::Pareto { least_ms, alpha } => (least_ms, alpha),
+        };
+        if !(time > 0.0 && time <= 60_000.0) {
+            return Some("a time must be above 0 and at most 60,000 ms");
+        }
+        (!(shape > 0.0 && shape <= 100.0)).then_some("a shape must be above 0 and at most 100")
+    }
+}
+
+/// Whole microseconds of a number of seconds.
+pub fn micros(seconds: f64) -> Micros {
+    (seconds * 1e6).round().max(0.0) as Micros
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn draws_depend_on_seed_and_name_alone() {
+        let draw = |seed, what, first| Draw::new(seed, what, first, 0).share();
+        assert_eq!(draw(1, "service", 2), draw(1, "service", 2));
+        assert!(draw(1, "service", 2) != draw(2, "service", 2));
+        assert!(draw(1, "service", 2) != draw(1, "gap", 2) && draw(1, "service", 2) != draw(1, "service", 3));
+    }
+
+    #[test]
+    fn laws_have_the_mean_that_they_say() {
+        let laws = [
+            Law::Fixed { ms: 4.0 },
+            Law::Exponential { mean_ms: 4.0 },
+            Law::LogNormal { median_ms: 4.0, sigma: 0.5 },
+            Law::Pareto { least_ms: 4.0, alpha: 3.0 },
+        ];
+        for law in laws {
+            let count = 40_000;
+            let sum: f64 = (0..count).map(|n| law.draw(&mut Draw::new(7, "law", n, 0))).sum();
+            let by_mean = sum / count as f64 / law.mean();
+            assert!((0.97..1.03).contains(&by_mean), "{law:?}: {by_mean}");
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/explore.rs
@@ -0,0 +1,224 @@
+//! Sweeps seeds on all cores, and makes a break that was found small: fewer faults, proxies, hosts and calls, a shorter
+//! time, as long as the same rule breaks under the same seed.
+
+use crate::fault::{settle, Which};
+use crate::judge::{Break, Rule};
+use crate::run::{play, Depth, Limits};
+use crate::scenario::Scenario;
+use rayon::prelude::*;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::ops::RangeInclusive;
+
+/// A break, with all that plays it again.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Found {
+    /// The seed.
+    pub seed: u64,
+    /// The depth.
+    pub depth: Depth,
+    /// Which rule, and what happened.
+    pub what: String,
+    /// The settled scenario.
+    pub scenario: Scenario,
+}
+
+impl Found {
+    /// Its text, as a file.
+    pub fn text(&self) -> String {
+        toml::to_string(self).unwrap_or_default()
+    }
+
+    /// Reads such a file.
+    ///
+    /// # Errors
+    ///
+    /// A file that is none, or whose scenario cannot be played.
+    pub fn parse(text: &str) -> Result<Found, String> {
+        let found: Found = toml::from_str(text).map_err(|error| error.to_string())?;
+        found.scenario.check().map_err(|error| format!("scenario.{error}"))?;
+        Ok(found)
+    }
+}
+
+/// What a sweep found.
+#[derive(Clone, Debug, Default)]
+pub struct Sweep {
+    /// Seeds that were played.
+    pub seeds: usize,
+    /// Those under which a rule broke, with the first break.
+    pub broken: BTreeMap<u64, Break>,
+    /// Those that could not be played, and why.
+    pub failed: BTreeMap<u64, String>,
+    /// Seconds of virtual time.
+    pub virtual_seconds: f64,
+    /// Those whose event logs are known: their hashes.
+    pub hashes: BTreeMap<u64, u64>,
+}
+
+/// Plays a scenario under each seed, on all cores. `done` hears of each; it may be called by several threads.
+pub fn sweep(
+    scenario: &Scenario,
+    seeds: RangeInclusive<u64>,
+    depth: Depth,
+    limits: &Limits,
+    done: impl Fn() + Sync,
+) -> Sweep {
+    let each: Vec<_> = seeds
+        .into_par_iter()
+        .map(|seed| {
+            let outcome = play(scenario, seed, depth, limits).map(|mut outcome| {
+                (
+                    outcome.hash,
+                    outcome.ended,
+                    (!outcome.breaks.is_empty()).then(|| outcome.breaks.swap_remove(0)),
+                )
+            });
+            done();
+            (seed, outcome)
+        })
+        .collect();
+    let mut sweep = Sweep { seeds: each.len(), ..Sweep::default() };
+    for (seed, outcome) in each {
+        match outcome {
+            Ok((hash, ended, broken)) => {
+                sweep.hashes.insert(seed, hash);
+                sweep.virtual_seconds += ended as f64 / 1e6;
+                broken.into_iter().for_each(|broken| drop(sweep.broken.insert(seed, broken)));
+            }
+            Err(reason) => drop(sweep.failed.insert(seed, reason)),
+        }
+    }
+    sweep
+}
+
+/// How far a break was made smaller.
+#[derive(Clone, Debug)]
+pub struct Shrunk {
+    /// The smaller one.
+    pub found: Found,
+    /// Its break.
+    pub broken: Break,
+    /// Runs that this took.
+    pub runs: usize,
+}
+
+/// Most runs that making one break small may take.
+const RUNS_MOST: usize = 400;
+
+/// Makes a break small. `None`: the scenario does not break this rule under this seed.
+pub fn shrink(scenario: &Scenario, seed: u64, depth: Depth, rule: Rule, limits: &Limits) -> Option<Shrunk> {
+    let mut shrinker = Shrinker { seed, depth, rule, limits: *limits, runs: 0 };
+    let mut best = settle(scenario, seed);
+    let mut broken = shrinker.breaks(&best)?;
+    loop {
+        let before = size(&best);
+        for next in smaller(&best, &broken) {
+            if let Some(again) = shrinker.breaks(&next) {
+                (best, broken) = (next, again);
+                break;
+            }
+            if shrinker.runs >= RUNS_MOST {
+                break;
+            }
+        }
+        if size(&best) == before || shrinker.runs >= RUNS_MOST {
+            break;
+        }
+    }
+    best.name = format!("{}, shrunk", scenario.name);
+    let found = Found { seed, depth, what: broken.to_string(), scenario: best };
+    Some(Shrunk { found, broken, runs: shrinker.runs })
+}
+
+struct Shrinker {
+    seed: u64,
+    depth: Depth,
+    rule: Rule,
+    limits: Limits,
+    runs: usize,
+}
+
+impl Shrinker {
+    /// The break of the same rule, if it is still there.
+    fn breaks(&mut self, scenario: &Scenario) -> Option<Break> {
+        scenario.check().ok()?;
+        self.runs += 1;
+        let outcome = play(scenario, self.seed, self.depth, &Limits { tells: false, ..self.limits }).ok()?;
+        outcome.breaks.into_iter().find(|broken| broken.rule == self.rule)
+    }
+}
+
+/// What is to become less. Two scenarios of one size are taken for the same.
+fn size(scenario: &Scenario) -> (usize, usize, usize, u64, u64, u64) {
+    let lasts: f64 = scenario.faults.iter().map(|fault| fault.lasts).sum();
+    (
+        scenario.faults.len(),
+        scenario.load.proxies,
+        scenario.fleet.hosts,
+        (scenario.seconds * 1e3) as u64,
+        (scenario.load.rate * 1e3) as u64,
+        (lasts * 1e3) as u64,
+    )
+}
+
+/// Scenarios that are smaller in one way each, those that take the most away first.
+fn smaller(scenario: &Scenario, broken: &Break) -> Vec<Scenario> {
+    let mut all = Vec::new();
+    let mut with = |change: &dyn Fn(&mut Scenario)| {
+        let mut next = scenario.clone();
+        change(&mut next);
+        next.warm_up = next.warm_up.min(next.seconds);
+        next.must = Default::default();
+        if size(&next) != size(scenario) {
+            all.push(next);
+        }
+    };
+    // Nothing is asked after the break.
+    let upto = ((broken.at as f64 / 1e6 + 0.05) * 1e3).ceil() / 1e3;
+    with(&|next| {
+        next.seconds = next.seconds.min(upto);
+        next.faults.retain(|fault| fault.at <= Some(next.seconds));
+    });
+    let count = scenario.faults.len();
+    let mut part = count;
+    while part > 0 {
+        for from in (0..count).step_by(part) {
+            with(&|next| drop(next.faults.drain(from..(from + part).min(count))));
+        }
+        part /= 2;
+    }
+    for by in [4, 2] {
+        with(&|next| {
+            let proxies = (next.load.proxies / by).max(1);
+            next.load.rate *= proxies as f64 / next.load.proxies as f64;
+            next.load.proxies = proxies;
+            next.faults.iter_mut().for_each(|fault| keep(&mut fault.proxies, proxies));
+        });
+        with(&|next| {
+            next.fleet.hosts = (next.fleet.hosts / by).max(1);
+            next.fleet.pods = next.fleet.pods.min(next.fleet.hosts);
+            next.fleet.zones = next.fleet.zones.min(next.fleet.pods);
+            next.fleet.spares = 0;
+            let hosts = next.fleet.hosts;
+            next.faults.iter_mut().for_each(|fault| keep(&mut fault.hosts, hosts));
+        });
+        with(&|next| next.load.rate = (next.load.rate / by as f64).max(1.0));
+    }
+    for number in 0..count {
+        with(&|next| next.faults[number].lasts = (next.faults[number].lasts / 2.0).max(0.05));
+    }
+    with(&|next| next.seconds = (next.seconds * 0.9 * 1e3).ceil() / 1e3);
+    all
+}
+
+/// Leaves those below a number; one at the least.
+fn keep(which: &mut Which, below: usize) {
+    if let Which::These(these) = which {
+        these.retain(|&one| one < below);
+        if these.is_empty() {
+            these.push(0);
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/fleet/mod.rs
@@ -0,0 +1,287 @@
+//! Fleet depth: the decision module of each proxy, or a baseline in its place, in an event queue. Connections are modelled:
+//! opening, keeping, breaking, bounds. There are no bytes and no tasks, so thousands of proxies play faster than time.
+
+mod exchange;
+mod proxy;
+
+use crate::baseline::{Decide, Picks};
+use crate::log::Of;
+use crate::model::{Answer, Event, Leak, Model, Out};
+use crate::queue::Queue;
+use crate::run::{Limits, Outcome};
+use crate::scenario::Scenario;
+use crate::Micros;
+use exchange::{Exchange, Way};
+use nettleworks_engine::config::Config;
+use nettleworks_policy as policy;
+use proxy::Proxy;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+/// What the queue holds.
+#[derive(Clone, Copy, Debug)]
+enum Ev {
+    Model(Event),
+    /// A proxy's module has asked to be woken.
+    Wake {
+        proxy: usize,
+        epoch: u32,
+        number: u64,
+    },
+    /// A watch is up, or what was news for it is there.
+    Watch {
+        proxy: usize,
+        epoch: u32,
+        watch: u64,
+        what: Watch,
+    },
+    /// Something of an exchange.
+    Exchange {
+        exchange: u64,
+        way: Way,
+    },
+    /// A kept connection is too old.
+    Old {
+        proxy: usize,
+        host: usize,
+        since: Micros,
+    },
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Watch {
+    Opens,
+    Hears,
+    Fails,
+    Retries,
+}
+
+impl From<Event> for Ev {
+    fn from(event: Event) -> Ev {
+        Ev::Model(event)
+    }
+}
+
+/// What the module is told once.
+struct Site {
+    config: Config,
+    connect: Micros,
+    keep: Micros,
+    connections: usize,
+}
+
+/// A fleet that plays a scenario.
+pub struct Fleet {
+    model: Model,
+    queue: Queue<Ev>,
+    proxies: Vec<Proxy>,
+    exchanges: BTreeMap<u64, Exchange>,
+    next_exchange: u64,
+    site: Site,
+    picks: Picks,
+    actions: Vec<policy::Action>,
+    events: u64,
+}
+
+impl Fleet {
+    /// At the start of a settled scenario, with this in the place of the decision module.
+    ///
+    /// # Errors
+    ///
+    /// What the daemon's checks say of the configuration.
+    pub fn new(scenario: Rc<Scenario>, seed: u64, picks: Picks) -> Result<Fleet, String> {
+        let mut queue = Queue::default();
+        let model = Model::new(scenario.clone(), seed, &mut queue);
+        let config = crate::site::config(&scenario, seed, 0, crate::site::discovery_address())?;
+        let site = Site {
+            connect: config.connect_timeout.as_micros() as Micros,
+            // As the engine keeps them.
+            keep: config.conn_idle.mul_f64(0.9).as_micros() as Micros,
+            connections: config.connections_to_hosts(),
+            config,
+        };
+        let mut fleet = Fleet {
+            model,
+            queue,
+            proxies: Vec::new(),
+            exchanges: BTreeMap::new(),
+            next_exchange: 0,
+            site,
+            picks,
+            actions: Vec::new(),
+            events: 0,
+        };
+        for number in 0..scenario.load.proxies {
+            let proxy = Proxy::new(fleet.decide(number, 0), 0);
+            fleet.proxies.push(proxy);
+        }
+        for number in 0..scenario.load.proxies {
+            fleet.start(number);
+        }
+        Ok(fleet)
+    }
+
+    fn decide(&self, proxy: usize, epoch: u32) -> Box<dyn Decide> {
+        let seed = crate::draw::name(self.model.seed, "proxy", proxy as u64) ^ u64::from(epoch);
+        let settings = policy::Settings { me: proxy as u32, ..self.site.config.settings.clone() };
+        self.picks.make(seed, settings)
+    }
+
+    fn start(&mut self, proxy: usize) {
+        self.module(proxy, policy::Event::Start);
+        if !self.model.scenario.discovery.asked {
+            self.subscribe(proxy);
+        }
+    }
+
+    /// Plays to the end, or to what ends it before.
+    pub fn play(mut self, limits: &Limits, leak: Option<Leak>) -> Outcome {
+        self.model.leak = leak;
+        self.model.log.tells = limits.tells;
+        let end = self.model.end();
+        while let Some((at, event)) = self.queue.take(end) {
+            self.model.now = at;
+            self.events += 1;
+            self.handle(event);
+            while let Some(out) = self.model.out.pop_front() {
+                self.carry(out);
+            }
+            if !self.model.breaks.is_empty() && limits.stops {
+                break;
+            }
+        }
+        Outcome::of(self.model, self.events)
+    }
+
+    fn handle(&mut self, event: Ev) {
+        match event {
+            Ev::Model(event) => self.model.handle(event, &mut self.queue),
+            Ev::Wake { proxy, epoch, number } => {
+                let at = &self.proxies[proxy];
+                if at.up && at.epoch == epoch && at.wake == number {
+                    self.module(proxy, policy::Event::Timer);
+                }
+            }
+            Ev::Watch { proxy, epoch, watch, what } => {
+                let at = &self.proxies[proxy];
+                if at.up && at.epoch == epoch && at.watch == watch {
+                    self.watch(proxy, what);
+                }
+            }
+            Ev::Exchange { exchange, way } => self.exchange(exchange, way),
+            Ev::Old { proxy, host, since } => self.close_old(proxy, host, since),
+        }
+    }
+
+    fn carry(&mut self, out: Out) {
+        match out {
+            Out::Ask(call) => self.ask(call),
+            Out::Leave(call) => self.leave(call),
+            Out::Says { exchange, ends, .. } => self.says(exchange, ends),
+            Out::Host(host) => self.host(host),
+            Out::News => self.news(),
+            Out::Proxy { proxy, starts } => self.process(proxy, starts),
+            // What is held back looks again by itself.
+            Out::Ways => {}
+            // There is nothing to read.
+            Out::Readers => {}
+        }
+    }
+
+    fn ask(&mut self, call: u32) {
+        let at = self.model.call(call);
+        let (proxy, class, tenant) = (at.proxy as usize, at.class, at.tenant);
+        // As the engine keeps some of the client's time for the way back.
+        let deadline = at.deadline.saturating_sub(10_000);
+        let (time_left, resent) = (deadline - self.model.now, at.again);
+        self.proxies[proxy].open(call, deadline);
+        let (call, class) = (policy::CallId(call.into()), policy::ClassId(class.into()));
+        let tenant = Some(policy::TenantId(tenant.into()));
+        self.module(proxy, policy::Event::Request { call, class, tenant, time_left, resent });
+    }
+
+    fn leave(&mut self, call: u32) {
+        let proxy = self.model.call(call).proxy as usize;
+        if let Some(open) = self.proxies[proxy].calls.get_mut(&call) {
+            open.answered = true;
+            self.module(proxy, policy::Event::Gone { call: policy::CallId(call.into()) });
+            self.proxies[proxy].tidy(call);
+        }
+    }
+
+    fn answer(&mut self, call: u32, answer: Answer) {
+        let proxy = self.model.call(call).proxy as usize;
+        let Some(open) = self.proxies[proxy].calls.get_mut(&call) else { return };
+        if !std::mem::replace(&mut open.answered, true) {
+            self.model.answered(call, answer, self.model.now, &mut self.queue);
+        }
+        self.proxies[proxy].tidy(call);
+    }
+
+    /// Feeds the module, and carries out what it says.
+    fn module(&mut self, proxy: usize, event: policy::Event) {
+        self.proxies[proxy].events.push_back(event);
+        self.run(proxy);
+    }
+
+    /// Feeds the module what waits for it.
+    fn run(&mut self, proxy: usize) {
+        if std::mem::replace(&mut self.proxies[proxy].busy, true) {
+            return;
+        }
+        let mut actions = std::mem::take(&mut self.actions);
+        while let Some(event) = self.proxies[proxy].events.pop_front() {
+            self.proxies[proxy].decide.handle(self.model.now + EPOCH, event, &mut actions);
+            for action in actions.drain(..) {
+                self.carry_out(proxy, action);
+            }
+        }
+        self.actions = actions;
+        self.proxies[proxy].busy = false;
+    }
+
+    fn carry_out(&mut self, proxy: usize, action: policy::Action) {
+        use policy::Action;
+        match action {
+            Action::Send { call, server, until } => {
+                self.send(proxy, call.0 as u32, server.0 as usize - 1, until)
+            }
+            Action::Refuse { call, retry_after } => {
+                self.answer(call.0 as u32, Answer::Refused(Some(retry_after)))
+            }
+            Action::Fail { call } => self.answer(call.0 as u32, Answer::Failed),
+            Action::Cancel { call, attempt } => self.cancel(proxy, call.0 as u32, attempt),
+            Action::Wake { after } => {
+                let at = &mut self.proxies[proxy];
+                at.wake += 1;
+                let (epoch, number) = (at.epoch, at.wake);
+                self.queue.put(self.model.now + after.max(1), Ev::Wake { proxy, epoch, number });
+            }
+            Action::Subscribe => self.subscribe(proxy),
+            Action::Log { .. } | Action::Tell { .. } | Action::Probe { .. } => {}
+        }
+    }
+
+    /// A proxy's process dies or starts.
+    fn process(&mut self, proxy: usize, starts: bool) {
+        if starts {
+            let epoch = self.proxies[proxy].epoch + 1;
+            self.proxies[proxy] = Proxy::new(self.decide(proxy, epoch), epoch);
+            return self.start(proxy);
+        }
+        self.proxies[proxy].up = false;
+        let out: Vec<u64> =
+            self.exchanges.iter().filter(|(_, at)| at.proxy == proxy).map(|(&number, _)| number).collect();
+        out.into_iter().for_each(|number| self.drop_exchange(number));
+        let idle = std::mem::take(&mut self.proxies[proxy].idle);
+        for (host, kept) in idle {
+            kept.into_iter().for_each(|kept| self.closed(host, kept.epoch));
+        }
+        self.proxies[proxy].calls.clear();
+        self.model.proxy_has_died(proxy, &mut self.queue);
+        self.model.log.note(self.model.now, Of::Proxy, [proxy as u64, 0, 1]);
+    }
+}
+
+/// Virtual time 0 in the module's clock.
+const EPOCH: Micros = crate::site::EPOCH * 1_000_000;
--- /dev/null
+++ b/lab/src/model/registry.rs
@@ -0,0 +1,120 @@
+//! Discovery: the list of hosts in versions, and what each watch has yet to be told.
+
+use crate::Micros;
+
+/// What the list says of a host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Listed {
+    /// It takes requests.
+    Ready,
+    /// It finishes what it has.
+    Terminating,
+    /// It is not on the list.
+    Gone,
+}
+
+/// An entry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Entry {
+    /// The host, by number.
+    pub host: usize,
+    /// What the list says of it.
+    pub listed: Listed,
+    /// When it last started, in microseconds of virtual time; 0: before all.
+    pub started: Micros,
+}
+
+/// News for one watch.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct News {
+    /// The version with which the list is as told.
+    pub seq: u64,
+    /// Whether it is the whole list.
+    pub whole: bool,
+    /// The entries.
+    pub entries: Vec<Entry>,
+}
+
+/// Changes that are kept for watches that come back; one that has missed more gets the whole list.
+const KEPT: usize = 4_096;
+
+/// The list.
+#[derive(Clone, Debug)]
+pub struct Registry {
+    entries: Vec<Entry>,
+    seq: u64,
+    /// Hosts that changed, the last at version `seq`.
+    changes: std::collections::VecDeque<usize>,
+    /// It is down: watches have ended and none can begin.
+    pub down: bool,
+    /// It says nothing.
+    pub silent: bool,
+}
+
+impl Registry {
+    /// All hosts ready.
+    pub fn new(hosts: usize) -> Registry {
+        let entries = (0..hosts).map(|host| Entry { host, listed: Listed::Ready, started: 0 }).collect();
+        Registry { entries, seq: 1, changes: Default::default(), down: false, silent: false }
+    }
+
+    /// What it says of a host.
+    pub fn entry(&self, host: usize) -> Entry {
+        self.entries[host]
+    }
+
+    /// Changes an entry; whether anything has changed.
+    pub fn set(&mut self, entry: Entry) -> bool {
+        if self.entries[entry.host] == entry {
+            return false;
+        }
+        self.entries[entry.host] = entry;
+        self.seq += 1;
+        self.changes.push_back(entry.host);
+        if self.changes.len() > KEPT {
+            self.changes.pop_front();
+        }
+        true
+    }
+
+    /// The present version.
+    pub fn seq(&self) -> u64 {
+        self.seq
+    }
+
+    /// What a watch is to hear that has heard all up to `since`; `None`: nothing.
+    pub fn news(&self, since: Option<u64>) -> Option<News> {
+        if since == Some(self.seq) {
+            return None;
+        }
+        let missed = since.and_then(|since| usize::try_from(self.seq.checked_sub(since)?).ok());
+        let known = missed.filter(|&missed| missed <= self.changes.len());
+        let Some(missed) = known else {
+            let listed = self.entries.iter().filter(|entry| entry.listed != Listed::Gone);
+            return Some(News { seq: self.seq, whole: true, entries: listed.copied().collect() });
+        };
+        let mut hosts: Vec<usize> = self.changes.iter().rev().take(missed).copied().collect();
+        hosts.sort_unstable();
+        hosts.dedup();
+        let entries = hosts.into_iter().map(|host| self.entries[host]).collect();
+        Some(News { seq: self.seq, whole: false, entries })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_watch_hears_what_it_has_missed_or_all() {
+        let mut registry = Registry::new(3);
+        let gone = Entry { host: 1, listed: Listed::Gone, started: 0 };
+        assert!(registry.set(gone) && !registry.set(gone));
+        assert_eq!(registry.news(Some(2)), None);
+        assert_eq!(registry.news(Some(1)), Some(News { seq: 2, whole: false, entries: vec![gone] }));
+        let all = registry.news(None).expect("news");
+        assert!(all.whole && all.entries.len() == 2);
+        // A version that is not this registry's.
+        assert!(registry.news(Some(9)).is_some_and(|news| news.whole));
+    }
+}
--- /dev/null
+++ b/lab/src/report.rs
@@ -0,0 +1,235 @@
+//! One page of HTML with plots, that needs nothing else: goodput and latency over time, hosts' load, repeats by cause, and
+//! goodput against offered load beside what a team would pick instead.
+
+use crate::baseline::Picks;
+use crate::run::{play, play_with, Depth, Limits, Outcome};
+use crate::scenario::Scenario;
+use plotters::prelude::*;
+use rayon::prelude::*;
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::ops::RangeInclusive;
+
+/// Times of the scenario's load, of which goodput is plotted.
+const TIMES: [f64; 8] = [0.25, 0.5, 1.0, 1.5, 2.0, 3.0, 4.0, 6.0];
+/// How many runs a report takes beside one for each seed.
+pub const RUNS: u64 = (TIMES.len() * Picks::ALL.len()) as u64;
+/// Hosts that have a line of their own.
+const HOSTS_MOST: usize = 16;
+
+/// A line of a plot.
+struct Series {
+    name: String,
+    points: Vec<(f64, f64)>,
+}
+
+/// Makes the page. `done` hears of each run.
+///
+/// # Errors
+///
+/// A scenario that cannot be played, or a plot that cannot be drawn.
+pub fn page(
+    scenario: &Scenario,
+    seeds: &RangeInclusive<u64>,
+    depth: Depth,
+    done: impl Fn() + Sync,
+) -> Result<String, String> {
+    let limits = Limits { stops: false, ..Limits::default() };
+    let runs: Vec<Outcome> = seeds
+        .clone()
+        .into_par_iter()
+        .map(|seed| {
+            let outcome = play(scenario, seed, depth, &limits);
+            done();
+            outcome
+        })
+        .collect::<Result<_, _>>()?;
+    let Some(first) = runs.first() else { return Err("no seed".to_owned()) };
+    let mut page = String::new();
+    let _ = write!(
+        page,
+        "<!doctype html><html lang=en><meta charset=utf-8><title>{0}</title>\
+         <style>body{{font:15px/1.5 sans-serif;max-width:1000px;margin:2em auto;padding:0 1em;color:#222}}\
+         table{{border-collapse:collapse}}td,th{{padding:.2em .8em;text-align:right;border-bottom:1px solid #ddd}}\
+         td:first-child,th:first-child{{text-align:left}}.bad{{color:#b00}}svg{{max-width:100%;height:auto}}</style>\
+         <h1>{0}</h1><p>{1}</p>",
+        escape(&scenario.name),
+        escape(&scenario.about)
+    );
+    let _ = write!(
+        page,
+        "<p>{} hosts in {} pods and {} zones, {} proxies, {} calls a second; {depth:?} depth. Plots over time are of \
+         seed {}; faults are grey.</p>",
+        scenario.fleet.hosts,
+        scenario.fleet.pods,
+        scenario.fleet.zones,
+        scenario.load.proxies,
+        scenario.load.rate,
+        first.seed
+    );
+    for (title, what, series) in over_time(first) {
+        page += &plot(title, "seconds", what, &series, &bands(&first.scenario))?;
+    }
+    page += &plot(
+        "Goodput against offered load",
+        "worth offered a second",
+        "worth served a second",
+        &against_load(scenario, *seeds.start(), &done)?,
+        &[],
+    )?;
+    page += &faults(&first.scenario);
+    page += &table(&runs);
+    page += "</html>\n";
+    Ok(page)
+}
+
+fn over_time(run: &Outcome) -> Vec<(&'static str, &'static str, Vec<Series>)> {
+    let seconds = || (0_u32..).zip(&run.tally.seconds);
+    let line = |name: &str, value: &dyn Fn(&crate::tally::Part) -> f64| Series {
+        name: name.to_owned(),
+        points: seconds().filter_map(|(at, of)| Some((at.into(), value(of.part.as_ref()?)))).collect(),
+    };
+    let goodput = vec![line("offered", &|part| part.offered), line("served", &|part| part.got)];
+    let times = [50.0, 90.0, 99.0].map(|at| line(&format!("p{at}"), &move |part| part.ms(at)));
+    let hosts = run.scenario.fleet.hosts.min(HOSTS_MOST);
+    let load = (0..hosts).map(|host| Series {
+        name: format!("host {host}"),
+        points: seconds()
+            .map(|(at, of)| (at.into(), of.host.get(&host).copied().unwrap_or_default().into()))
+            .collect(),
+    });
+    let causes = run.tally.repeats.keys().map(|&cause| Series {
+        name: cause.to_owned(),
+        points: seconds()
+            .map(|(at, of)| (at.into(), of.repeats.get(cause).copied().unwrap_or_default().into()))
+            .collect(),
+    });
+    let refused = Series {
+        name: "refusals".to_owned(),
+        points: seconds().map(|(at, of)| (at.into(), of.refused.into())).collect(),
+    };
+    vec![
+        ("Goodput", "worth a second", goodput),
+        ("Time to an answer, of what was served, by when it was asked", "milliseconds", times.into()),
+        ("Attempts at each host", "a second", load.collect()),
+        ("Repeats by cause, and refusals", "a second", causes.chain([refused]).collect()),
+    ]
+}
+
+/// When faults are on.
+fn bands(scenario: &Scenario) -> Vec<(f64, f64)> {
+    let band = |fault: &crate::fault::Fault| fault.at.map(|at| (at, at + fault.lasts));
+    scenario.faults.iter().filter_map(band).collect()
+}
+
+fn against_load(scenario: &Scenario, seed: u64, done: &(impl Fn() + Sync)) -> Result<Vec<Series>, String> {
+    let all: Vec<(Picks, f64)> =
+        Picks::ALL.iter().flat_map(|&picks| TIMES.map(|times| (picks, times))).collect();
+    let limits = Limits { stops: false, ..Limits::default() };
+    let runs: Vec<_> = all
+        .into_par_iter()
+        .map(|(picks, times)| {
+            let mut scenario = scenario.clone();
+            scenario.load.rate = (scenario.load.rate * times).min(200_000.0);
+            let outcome = play_with(&scenario, seed, Depth::Fleet, &limits, picks, None);
+            done();
+            let seconds = scenario.seconds - scenario.warm_up;
+            outcome.map(|run| (picks, (run.tally.all.offered / seconds, run.tally.all.got / seconds)))
+        })
+        .collect::<Result<_, _>>()?;
+    let mut series = BTreeMap::<Picks, Vec<(f64, f64)>>::new();
+    runs.into_iter().for_each(|(picks, point)| series.entry(picks).or_default().push(point));
+    Ok(series.into_iter().map(|(picks, points)| Series { name: picks.name().to_owned(), points }).collect())
+}
+
+fn plot(
+    title: &str,
+    across: &str,
+    up: &str,
+    series: &[Series],
+    bands: &[(f64, f64)],
+) -> Result<String, String> {
+    let points = || series.iter().flat_map(|series| &series.points);
+    let most = |value: fn(&(f64, f64)) -> f64| points().map(value).fold(1.0_f64, f64::max);
+    let (right, top) = (most(|point| point.0), most(|point| point.1) * 1.05);
+    let mut text = String::new();
+    let mut draw = || -> Result<(), Box<dyn std::error::Error>> {
+        let area = SVGBackend::with_string(&mut text, (960, 320)).into_drawing_area();
+        area.fill(&WHITE)?;
+        let mut chart = ChartBuilder::on(&area)
+            .caption(title, ("sans-serif", 18))
+            .margin(8)
+            .x_label_area_size(36)
+            .y_label_area_size(64)
+            .build_cartesian_2d(0.0..right, 0.0..top)?;
+        let grey = BLACK.mix(0.07).filled();
+        let shade = |&(from, to): &(f64, f64)| Rectangle::new([(from, 0.0), (to.min(right), top)], grey);
+        chart.draw_series(bands.iter().filter(|band| band.0 < right).map(shade))?;
+        chart.configure_mesh().light_line_style(TRANSPARENT).x_desc(across).y_desc(up).draw()?;
+        for (number, series) in series.iter().enumerate() {
+            let color = Palette99::pick(number).to_rgba();
+            chart
+                .draw_series(LineSeries::new(series.points.iter().copied(), color.stroke_width(2)))?
+                .label(&series.name)
+                .legend(move |(x, y)| PathElement::new([(x, y), (x + 16, y)], color.stroke_width(2)));
+        }
+        chart
+            .configure_series_labels()
+            .position(SeriesLabelPosition::UpperLeft)
+            .background_style(WHITE.mix(0.8))
+            .draw()?;
+        area.present()?;
+        Ok(())
+    };
+    draw().map_err(|error| format!("{title}: {error}"))?;
+    Ok(text)
+}
+
+fn faults(scenario: &Scenario) -> String {
+    if scenario.faults.is_empty() {
+        return String::new();
+    }
+    let mut text = "<h2>Faults</h2><table><tr><th>what<th>at s<th>for s<th>hosts<th>proxies</tr>".to_owned();
+    for fault in &scenario.faults {
+        let which = |which: &crate::fault::Which| match which {
+            crate::fault::Which::These(these) => escape(&format!("{these:?}")),
+            _ => "all".to_owned(),
+        };
+        let _ = write!(
+            text,
+            "<tr><td>{:?}<td>{:.3}<td>{:.3}<td>{}<td>{}</tr>",
+            fault.what,
+            fault.at.unwrap_or_default(),
+            fault.lasts,
+            which(&fault.hosts),
+            which(&fault.proxies)
+        );
+    }
+    text + "</table>"
+}
+
+fn table(runs: &[Outcome]) -> String {
+    let mut text =
+        "<h2>Seeds</h2><table><tr><th>seed<th>served<th>p50 ms<th>p99 ms<th>attempts<th>broken<th>log</tr>"
+            .to_owned();
+    for run in runs {
+        let all = &run.tally.all;
+        let class = if run.breaks.is_empty() { "" } else { " class=bad" };
+        let _ = write!(
+            text,
+            "<tr><td>{}<td>{:.4}<td>{:.1}<td>{:.1}<td>{}<td{class}>{}<td><code>{:016x}</code></tr>",
+            run.seed,
+            all.served(),
+            all.ms(50.0),
+            all.ms(99.0),
+            run.tally.sent,
+            run.breaks.len(),
+            run.hash
+        );
+    }
+    text + "</table>"
+}
+
+fn escape(text: &str) -> String {
+    text.replace('&', "&amp;").replace('<', "&lt;").replace('>', "&gt;")
+}
--- /dev/null
+++ b/lab/tests/determinism.rs
@@ -0,0 +1,82 @@
+//! The same seed gives the same event log, byte for byte; what would make it another is noticed.
+
+use nettleworks_lab::baseline::Picks;
+use nettleworks_lab::explore::sweep;
+use nettleworks_lab::model::Leak;
+use nettleworks_lab::run::{play, play_with, Depth, Limits};
+use nettleworks_lab::scenario::Scenario;
+use std::path::Path;
+
+const DEPTHS: [Depth; 2] = [Depth::Full, Depth::Fleet];
+
+/// A scenario as it is shipped, for less time.
+fn shipped(name: &str, seconds: f64) -> Scenario {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("scenarios").join(format!("{name}.toml"));
+    let mut scenario = Scenario::load(&path).unwrap_or_else(|error| panic!("{error}"));
+    scenario.seconds = scenario.seconds.min(seconds);
+    scenario.faults.retain(|fault| fault.at.is_none_or(|at| at < scenario.seconds));
+    scenario
+}
+
+fn hash(scenario: &Scenario, depth: Depth, leak: Option<Leak>) -> u64 {
+    let limits = Limits { stops: false, ..Limits::default() };
+    play_with(scenario, 7, depth, &limits, Picks::Ours, leak).expect("it is played").hash
+}
+
+#[test]
+fn a_seed_has_one_log_on_one_thread_and_on_four() {
+    for name in ["chaos", "keys"] {
+        let scenario = shipped(name, 8.0);
+        for depth in DEPTHS {
+            let on = |threads| {
+                let pool = rayon::ThreadPoolBuilder::new().num_threads(threads).build().expect("threads");
+                pool.install(|| sweep(&scenario, 1..=6, depth, &Limits::default(), || ())).hashes
+            };
+            let (one, four, again) = (on(1), on(4), on(4));
+            assert_eq!(one.len(), 6);
+            assert!(one == four && four == again, "{name} {depth:?}: {one:x?} {four:x?} {again:x?}");
+            let mut all: Vec<u64> = one.into_values().collect();
+            all.sort_unstable();
+            all.dedup();
+            assert_eq!(all.len(), 6, "another seed is another course");
+        }
+    }
+}
+
+/// They change with the model, the module and the engine: then they are written anew, and the change is looked at.
+#[test]
+fn hosts_that_no_list_names_change_nothing() {
+    for depth in DEPTHS {
+        let scenario = shipped("chaos", 8.0);
+        let mut more = scenario.clone();
+        more.fleet.spares = 5;
+        assert_eq!(hash(&scenario, depth, None), hash(&more, depth, None));
+        // A host that is listed does change something.
+        more.fleet.hosts += 1;
+        assert_ne!(hash(&scenario, depth, None), hash(&more, depth, None));
+    }
+}
+
+#[test]
+fn a_leak_of_the_machine_into_a_run_is_noticed() {
+    let scenario = shipped("calm", 4.0);
+    for depth in DEPTHS {
+        for leak in [Leak::Clock, Leak::MapOrder, Leak::Thread] {
+            let hashes: Vec<u64> = (0..4).map(|_| hash(&scenario, depth, Some(leak))).collect();
+            let first = hashes[0];
+            assert!(hashes.iter().any(|&hash| hash != first), "{leak:?} {depth:?}: {hashes:x?}");
+        }
+    }
+}
+
+#[test]
+fn a_settled_scenario_that_was_written_down_plays_the_same() {
+    let scenario = shipped("chaos", 8.0);
+    let settled = nettleworks_lab::fault::settle(&scenario, 3);
+    assert!(settled.chaos.is_none() && settled.faults.len() >= 14);
+    let read = Scenario::parse(&settled.text()).unwrap_or_else(|error| panic!("{error}"));
+    for depth in DEPTHS {
+        let hash = |scenario| play(scenario, 3, depth, &Limits::default()).expect("it is played").hash;
+        assert_eq!(hash(&scenario), hash(&read));
+    }
+}
--- /dev/null
+++ b/lab/tests/scenarios.rs
@@ -0,0 +1,99 @@
+//! Scenario files: the shipped ones are good and keep the rules; wrong ones are refused with their place.
+
+use nettleworks_lab::explore::sweep;
+use nettleworks_lab::run::{Depth, Limits};
+use nettleworks_lab::scenario::Scenario;
+use std::path::Path;
+
+/// Seeds of each shipped scenario in CI; the long form has 2,000.
+const FLEET_SEEDS: u64 = 20;
+const FULL_SEEDS: u64 = 20;
+/// In CI a scenario is played for so many seconds at the most, and at so many calls a second.
+const SECONDS: f64 = 16.0;
+const RATE: f64 = 150.0;
+
+fn shipped() -> Vec<Scenario> {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("scenarios");
+    let mut paths: Vec<_> =
+        std::fs::read_dir(folder).expect("a folder").map(|entry| entry.expect("a file").path()).collect();
+    paths.sort();
+    paths.iter().map(|path| Scenario::load(path).unwrap_or_else(|error| panic!("{error}"))).collect()
+}
+
+fn keep_the_rules(depth: Depth, seeds: u64) {
+    let all = shipped();
+    assert!(all.len() >= 12);
+    for mut scenario in all {
+        let (seconds, times) = (scenario.seconds, (scenario.seconds / SECONDS).max(1.0));
+        if depth == Depth::Full && seconds > SECONDS {
+            // The same timeline in less time and with fewer calls; spans of faults stay.
+            scenario.seconds = SECONDS;
+            scenario.warm_up = 1.0;
+            scenario.faults.iter_mut().for_each(|fault| fault.at = fault.at.map(|at| at / times));
+            scenario.load.curve.iter_mut().for_each(|point| point.0 /= times);
+        }
+        if depth == Depth::Full {
+            scenario.fleet.workers =
+                (scenario.fleet.workers as f64 * RATE / scenario.load.rate).ceil() as usize;
+            scenario.load.rate = RATE;
+        }
+        let swept = sweep(&scenario, 1..=seeds, depth, &Limits::default(), || ());
+        assert!(swept.broken.is_empty() && swept.failed.is_empty(), "{} {depth:?}: {swept:?}", scenario.name);
+        assert_eq!(swept.seeds as u64, seeds);
+    }
+}
+
+#[test]
+fn shipped_scenarios_keep_the_rules_in_fleet_depth() {
+    keep_the_rules(Depth::Fleet, FLEET_SEEDS);
+}
+
+#[test]
+fn shipped_scenarios_keep_the_rules_in_full_stack() {
+    keep_the_rules(Depth::Full, FULL_SEEDS);
+}
+
+#[test]
+fn a_wrong_file_is_refused_with_its_place() {
+    let bad = [
+        ("", "name"),
+        ("name = \"x\"\nseconds = 0.0", "seconds"),
+        ("name = \"x\"\nseconds = nan", "seconds"),
+        ("name = \"x\"\nseconds = 5.0\nsecond = 1", "second"),
+        ("name = \"x\"\nseconds = \"5\"", "seconds"),
+        ("name = \"x\"\nseconds = 5.0\n[fleet]\nhosts = 0", "fleet.hosts"),
+        ("name = \"x\"\nseconds = 5.0\n[fleet]\nhosts = 2\npods = 3", "fleet.pods"),
+        ("name = \"x\"\nseconds = 5.0\n[fleet]\nhost = 2", "fleet"),
+        ("name = \"x\"\nseconds = 5.0\n[load]\nrate = -1.0", "load.rate"),
+        ("name = \"x\"\nseconds = 5.0\n[load]\nproxies = 99999999", "load.proxies"),
+        ("name = \"x\"\nseconds = 5.0\n[load]\ncurve = [[3.0, 1.0], [2.0, 1.0]]", "load.curve[1]"),
+        ("name = \"x\"\nseconds = 5.0\n[load]\ntenants = []", "load.tenants"),
+        ("name = \"x\"\nseconds = 5.0\n[[fault]]\nwhat = \"explode\"\nat = 1.0", "fault[0].what"),
+        ("name = \"x\"\nseconds = 5.0\n[[fault]]\nwhat = \"kill\"", "fault[0]"),
+        ("name = \"x\"\nseconds = 5.0\n[[fault]]\nwhat = \"kill\"\nat = 9.0", "fault[0]"),
+        ("name = \"x\"\nseconds = 5.0\n[[fault]]\nwhat = \"kill\"\nat = 1.0\nhosts = { these = [9] }", "fault[0].hosts"),
+        ("name = \"x\"\nseconds = 5.0\n[[fault]]\nwhat = \"kill\"\nat = 1.0\nhosts = { pod = 7 }", "fault[0].hosts"),
+        ("name = \"x\"\nseconds = 5.0\n[[fault]]\nwhat = \"kill\"\nat = 1.0\nmuch = 2.0", "fault[0].much"),
+        ("name = \"x\"\nseconds = 5.0\n[[fault]]\nwhat = \"cut\"\nat = 1.0\nproxies = { any = 50 }", "fault[0].proxies"),
+        ("name = \"x\"\nseconds = 5.0\n[chaos]\nfaults = 10000", "chaos.faults"),
+        ("name = \"x\"\nseconds = 5.0\n[[class]]\nname = \"a\"\nkind = \"free\"\nshare = 1.0\naim_ms = 5.0\n\
+          deadline_ms = 1.0\nworth = 1.0\nwork = { law = \"fixed\", ms = 1.0 }", "class[0].deadline_ms"),
+        ("name = \"x\"\nseconds = 5.0\n[[class]]\nname = \"a\"\nkind = \"free\"\nshare = 1.0\naim_ms = 5.0\n\
+          deadline_ms = 9.0\nworth = 1.0\nwork = { law = \"pareto\", least_ms = 1.0, alpha = 0.0 }", "class[0].work"),
+        ("name = \"x\"\nseconds = 5.0\n[must]\nserved = 2.0", "must.served"),
+        ("name = ", "TOML"),
+    ];
+    for (text, place) in bad {
+        let error = Scenario::parse(text).expect_err(text).to_string();
+        assert!(error.contains(place), "{text}\n{error}");
+    }
+    // Whatever is cut off or spoilt of a good one is refused or played, and never a panic.
+    let good = shipped().pop().expect("one").text();
+    for cut in 0..good.len() {
+        if good.is_char_boundary(cut) {
+            let _ = Scenario::parse(&good[..cut]);
+            let spoilt: String = good.char_indices().map(|(at, c)| if at == cut { '9' } else { c }).collect();
+            let _ = Scenario::parse(&spoilt);
+        }
+    }
+}
