--- /dev/null
+++ b/lab/src/full/bridge.rs
@@ -0,0 +1,180 @@
+//! The world of the full stack on real time, its connections carried over real sockets on loopback.
+
+use super::net::{Ev, World};
+use super::socket::{Door, Node, Shared};
+use crate::model::Model;
+use crate::queue::Queue;
+use crate::run::Outcome;
+use crate::scenario::Scenario;
+use crate::site;
+use crate::Micros;
+use nettleworks_engine::net::{Network, VirtualListener, VirtualStream};
+use std::cell::RefCell;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::sync::mpsc;
+use std::task::{Context, Poll};
+use std::time::{Duration, Instant};
+use tokio::io::copy_bidirectional;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::runtime;
+use tokio::sync::oneshot;
+use tokio::task::{spawn_local, LocalSet};
+
+/// Plays a settled scenario on real time.
+pub(crate) fn play(scenario: Scenario, seed: u64) -> Result<Outcome, String> {
+    let scenario = Rc::new(scenario);
+    let mut queue = Queue::default();
+    let mut model = Model::new(scenario.clone(), seed, &mut queue);
+    model.stores = scenario.load.keys > 0;
+    let (hosts, proxies) = (scenario.fleet.hosts, scenario.load.proxies);
+    let world = Rc::new(RefCell::new(World::new(model, queue)));
+    let built = runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = built.map_err(|error| error.to_string())?;
+    let tasks = LocalSet::new();
+    let events = tasks.block_on(&runtime, async {
+        let bad = |error: std::io::Error| error.to_string();
+        let discovery = TcpListener::bind("127.0.0.1:0").await.map_err(bad)?;
+        let mut real = Vec::new();
+        let mut listeners = Vec::new();
+        for _ in 0..hosts {
+            let listener = TcpListener::bind("127.0.0.1:0").await.map_err(bad)?;
+            real.push(listener.local_addr().map_err(bad)?);
+            listeners.push(listener);
+        }
+        world.borrow_mut().addresses = Some(real);
+        let mut stops = Vec::new();
+        let mut threads = Vec::new();
+        for proxy in 0..proxies {
+            let (started, address) = mpsc::channel();
+            let (stop, stopped) = oneshot::channel::<()>();
+            let config = site::config(&scenario, seed, proxy, discovery.local_addr().map_err(bad)?)?;
+            threads.push(std::thread::spawn(move || serve(config, &started, stopped)));
+            stops.push(stop);
+            let address = address.recv_timeout(Duration::from_secs(10)).map_err(|error| error.to_string())?;
+            spawn_local(clients(world.clone(), proxy, address));
+        }
+        for (host, listener) in listeners.into_iter().enumerate() {
+            spawn_local(peer(world.clone(), listener, site::host_address(host), proxies));
+        }
+        spawn_local(peer(world.clone(), discovery, site::discovery_address(), proxies));
+        let events = Clock { world: world.clone(), start: Instant::now(), events: 0 }.await;
+        drop(stops);
+        for thread in threads {
+            thread.join().map_err(|_| "a proxy has panicked".to_owned())?;
+        }
+        Ok::<_, String>(events)
+    })?;
+    drop(tasks);
+    drop(runtime);
+    let world = Rc::try_unwrap(world).map_err(|_| "an end outlives its run".to_owned())?.into_inner();
+    Ok(Outcome::of(world.model, events))
+}
+
+/// A real proxy, until it is told to stop.
+fn serve(
+    config: nettleworks::config::Config,
+    started: &mpsc::Sender<SocketAddr>,
+    stopped: oneshot::Receiver<()>,
+) {
+    let Ok(runtime) = runtime::Builder::new_current_thread().enable_all().build() else { return };
+    LocalSet::new().block_on(&runtime, async {
+        let Ok(listener) = TcpListener::bind("127.0.0.1:0").await else { return };
+        let Ok(address) = listener.local_addr() else { return };
+        let _ = started.send(address);
+        let log = Rc::new(|_: &str| ());
+        let reload = async || std::future::pending().await;
+        let stop = async move {
+            let _ = stopped.await;
+        };
+        nettleworks::run(config, log, listener, reload, stop).await;
+    });
+}
+
+/// Carries connections of the model's clients to a proxy.
+async fn clients(world: Shared, proxy: usize, address: SocketAddr) {
+    let door = Door { world, proxy };
+    loop {
+        let accepted = std::future::poll_fn(|context| door.poll_accept(context)).await;
+        let Ok(end) = accepted else { return };
+        spawn_local(async move {
+            if let Ok(stream) = TcpStream::connect(address).await {
+                carry(stream, end).await;
+            }
+        });
+    }
+}
+
+/// Carries connections of proxies to a peer of the model. Which proxy it is shows in nothing but the peer's zone: they are
+/// taken in turn.
+async fn peer(world: Shared, listener: TcpListener, at: SocketAddr, proxies: usize) {
+    let mut next = 0;
+    while let Ok((stream, _)) = listener.accept().await {
+        next += 1;
+        let node = Node { world: world.clone(), proxy: next % proxies };
+        let dialing = node.connect(at);
+        spawn_local(async move {
+            match dialing.await {
+                Ok(end) => carry(stream, end).await,
+                Err(_) => reset(&stream),
+            }
+        });
+    }
+}
+
+async fn carry(mut stream: TcpStream, mut end: Box<dyn VirtualStream>) {
+    // A side that has no delay of its own must not be given one.
+    let _ = stream.set_nodelay(true);
+    if copy_bidirectional(&mut stream, &mut *end).await.is_err() {
+        reset(&stream);
+    }
+}
+
+/// The next close of this stream resets it.
+fn reset(stream: &TcpStream) {
+    let _ = socket2::SockRef::from(stream).set_linger(Some(Duration::ZERO));
+}
+
+/// Does what is due, and never sleeps: events come closer together than timers do.
+struct Clock {
+    world: Shared,
+    start: Instant,
+    events: u64,
+}
+
+impl Future for Clock {
+    type Output = u64;
+
+    fn poll(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<u64> {
+        let now = self.start.elapsed().as_micros() as Micros;
+        let mut count = 0;
+        {
+            let mut world = self.world.borrow_mut();
+            if now >= world.model.end() {
+                return Poll::Ready(self.events);
+            }
+            loop {
+                world.model.now = now;
+                if let Some(out) = world.model.out.pop_front() {
+                    // Processes stay up here.
+                    let _ = world.carry(out);
+                    continue;
+                }
+                let Some((_, event)) = world.queue.take(now) else { break };
+                count += 1;
+                let World { model, queue, .. } = &mut *world;
+                match event {
+                    Ev::Model(event) => model.handle(event, queue),
+                    Ev::Piece { conn, side, piece } => world.piece(conn, side, piece),
+                    Ev::Idle { conn, served } => world.is_idle(conn, served),
+                    Ev::Beat { conn } => world.beat(conn),
+                }
+            }
+        }
+        self.events += count;
+        context.waker().wake_by_ref();
+        Poll::Pending
+    }
+}
--- a/lab/src/full/mod.rs
+++ b/lab/src/full/mod.rs
@@ -5,6 +5,7 @@
 //! Time is tokio's, paused. Its timers come on whole milliseconds; the network's events come to the microsecond, in
 //! between. Time moves only when no task of any proxy can go on ([`play::play`]).
 
+pub(crate) mod bridge;
 mod net;
 mod peers;
 mod play;
--- a/lab/src/full/net.rs
+++ b/lab/src/full/net.rs
@@ -22,6 +22,8 @@
 
 /// Bytes that a connection holds on their way to a reader: beyond, its writer waits.
 const WINDOW: usize = 256 << 10;
+/// Most bytes of one piece: what a system takes of a write at once, while there is room.
+const PIECE: usize = 16 << 10;
 /// A word that opens a connection and is not answered is said again after this.
 const SAID_AGAIN: Micros = 1_000_000;
 
@@ -144,6 +146,8 @@
     /// Connections of open exchanges.
     pub exchanges: BTreeMap<u64, ConnId>,
     pub next: u64,
+    /// Where hosts listen in truth, where the run is on real sockets.
+    pub addresses: Option<Vec<SocketAddr>>,
 }
 
 impl World {
@@ -157,6 +161,7 @@
             idle: vec![Vec::new(); proxies],
             exchanges: BTreeMap::new(),
             next: 0,
+            addresses: None,
         }
     }
 
@@ -216,18 +221,21 @@
         let (cut, mean, longer) = self.way(conn, side);
         let network = &self.model.scenario.network;
         let draw = |pieces| Draw::new(self.model.seed, "piece", number, pieces).share();
-        let mut after = mean * (1.0 + network.jitter * draw(conn.pieces)) + longer as f64;
-        if let (Piece::Bytes(bytes, ..), true) = (&piece, network.megabits > 0.0) {
-            after += bytes.len() as f64 * 8.0 / network.megabits;
-        }
+        let after = mean * (1.0 + network.jitter * draw(conn.pieces)) + longer as f64;
         let at = self.model.now + (after as Micros).max(1);
+        // One piece after the other goes through what the connection has of the line.
+        let takes = match &piece {
+            Piece::Bytes(bytes, ..) if network.megabits > 0.0 => bytes.len() as f64 * 8.0 / network.megabits,
+            _ => 0.0,
+        };
         let Some(conn) = self.conns.get_mut(&number) else { return };
         conn.pieces += 1;
         let to = &mut conn.sides[side];
         if cut || !to.held.is_empty() {
+            self.model.tally.held += 1;
             return to.held.push_back(piece);
         }
-        to.last = to.last.max(at);
+        to.last = to.last.max(at) + takes as Micros;
         self.queue.put(to.last, Ev::Piece { conn: number, side, piece });
     }
 
@@ -253,6 +261,7 @@
         // A cut that began while it was under way keeps it too.
         if self.way(conn, side).0 {
             if let Some(conn) = self.conns.get_mut(&number) {
+                self.model.tally.held += 1;
                 conn.sides[side].held.push_back(piece);
             }
             return;
@@ -496,7 +505,7 @@
         if conn.sides[side].reset || conn.sides[side].shut {
             return broken();
         }
-        let room = WINDOW.saturating_sub(conn.sides[1 - side].under_way).min(bytes.len());
+        let room = WINDOW.saturating_sub(conn.sides[1 - side].under_way).min(bytes.len()).min(PIECE);
         if room == 0 {
             conn.sides[side].writer = Some(context.waker().clone());
             return Poll::Pending;
--- a/lab/src/full/peers.rs
+++ b/lab/src/full/peers.rs
@@ -143,6 +143,11 @@
                 let said = String::from_utf8_lossy(&body[..body.len().min(16)]).into_owned();
                 self.model.broken(Rule::OneAnswer, call, None, format!("another call's answer: {said}"));
             }
+            if let (Answer::Served, Some(made_for)) =
+                (answer, std::str::from_utf8(&body).ok().and_then(wire::call))
+            {
+                self.model.answer_was_made_for(call, made_for);
+            }
             let close = head.header("connection").is_some_and(|value| value.eq_ignore_ascii_case("close"));
             if close || ended {
                 self.client_closes(number);
@@ -353,7 +358,9 @@
                 };
                 let born = if entry.started == 0 { 0 } else { site::EPOCH * 1_000 + entry.started / 1_000 };
                 let host = &self.model.hosts[entry.host];
-                json!({"host": format!("h-{}", entry.host), "dial": site::host_address(entry.host).to_string(),
+                let real = self.addresses.as_ref().and_then(|real| real.get(entry.host).copied());
+                let dial = real.unwrap_or_else(|| site::host_address(entry.host));
+                json!({"host": format!("h-{}", entry.host), "dial": dial.to_string(),
                        "site": format!("zone-{}", host.zone), "class": "m", "block": host.pod, "health": health,
                        "share": 1.0, "born_ms": born})
             })
--- a/lab/src/full/play.rs
+++ b/lab/src/full/play.rs
@@ -36,6 +36,7 @@
     let mut queue = Queue::default();
     let mut model = Model::new(scenario.clone(), seed, &mut queue);
     model.leak = leak;
+    model.stores = scenario.load.keys > 0;
     model.log.tells = limits.tells;
     let proxies = scenario.load.proxies;
     let world = Rc::new(RefCell::new(World::new(model, queue)));
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -18,11 +18,13 @@
 pub mod log;
 pub mod model;
 pub mod queue;
+pub mod real;
 pub mod report;
 pub mod run;
 pub mod scenario;
 pub mod site;
 pub mod tally;
+pub mod truth;
 
 /// A moment or a span, in microseconds of virtual time.
 pub type Micros = u64;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -9,6 +9,7 @@
 use nettleworks_lab::report;
 use nettleworks_lab::run::{play, play_with, Depth, Limits, Outcome};
 use nettleworks_lab::scenario::Scenario;
+use nettleworks_lab::truth;
 use serde_json::json;
 use std::fs::File;
 use std::ops::RangeInclusive;
@@ -90,6 +91,14 @@
         #[arg(long, default_value = "report.html", value_name = "FILE")]
         out: PathBuf,
     },
+    /// Play scenarios in both depths and on real loopback sockets, in real time; a table of Markdown
+    Truth {
+        /// The scenarios
+        #[arg(required = true)]
+        scenarios: Vec<PathBuf>,
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+    },
     /// Play a break again that explore has written
     Replay {
         /// Its file
@@ -191,6 +200,13 @@
             println!("{}", out.display());
             Ok(true)
         }
+        Command::Truth { scenarios, seed } => {
+            let all = load_all(&scenarios)?;
+            let all: Vec<_> =
+                all.iter().map(|scenario| truth::compare(scenario, seed)).collect::<Result<_, _>>()?;
+            print!("{}", truth::table(&all));
+            Ok(true)
+        }
         Command::Replay { found, events } => {
             let text =
                 std::fs::read_to_string(&found).map_err(|error| format!("{}: {error}", found.display()))?;
@@ -260,7 +276,8 @@
             "virtual_seconds": outcome.ended as f64 / 1e6, "seconds": seconds, "served": all.served(),
             "wanted": all.wanted, "ended": all.ended, "p50_ms": all.ms(50.0), "p99_ms": all.ms(99.0),
             "sent": tally.sent, "repeats": tally.repeats, "opened": tally.opened, "connections": tally.connections,
-            "watches": tally.watches, "broken": outcome.breaks, "missed": outcome.missed,
+            "watches": tally.watches, "held": tally.held, "keys": tally.keys, "key_repeats": tally.key_repeats,
+            "replays": tally.replays, "two_answers": tally.two_answers, "broken": outcome.breaks, "missed": outcome.missed,
         });
         return println!("{object}");
     }
--- a/lab/src/model/mod.rs
+++ b/lab/src/model/mod.rs
@@ -20,6 +20,9 @@
 use std::rc::Rc;
 use twox_hash::XxHash64;
 
+/// Most taps that follow a first one.
+const TAPS_MOST: usize = 3;
+
 /// Tables that are only looked up in, never walked: hashed the same in each run all the same.
 pub(crate) type Table<K, V> = HashMap<K, V, BuildHasherDefault<XxHash64>>;
 
@@ -179,6 +182,15 @@
     key: u64,
 }
 
+/// A key at a proxy that has a store of them.
+#[derive(Clone, Copy, Debug, Default)]
+struct OfKey {
+    asked: u32,
+    ran: u32,
+    /// The call that its first answer was made for.
+    made_for: Option<u32>,
+}
+
 /// A proxy, as the judge knows it.
 #[derive(Clone, Debug, Default)]
 pub struct Proxy {
@@ -231,6 +243,8 @@
     pub out: VecDeque<Out>,
     /// Faults that are on.
     pub(crate) on: Vec<bool>,
+    /// Proxies have their stores of keys; in fleet depth there are none.
+    pub stores: bool,
     /// What must not be, planted.
     pub leak: Option<Leak>,
     things: Vec<Thing>,
@@ -238,6 +252,8 @@
     /// Keys that a pod has run, and when, for its window.
     keys: Table<(usize, u64), Micros>,
     key_ends: VecDeque<(Micros, usize, u64)>,
+    /// What is known of keys, where proxies have stores of them.
+    of_keys: Table<(u32, u64), OfKey>,
     /// Calls that are open, by proxy and key.
     open_keys: Table<(u32, u64), u32>,
     shares: Vec<f64>,
@@ -278,11 +294,13 @@
             breaks: Vec::new(),
             out: VecDeque::new(),
             on: vec![false; scenario.faults.len()],
+            stores: false,
             leak: None,
             things: Vec::new(),
             arrivals: vec![0; scenario.load.proxies],
             keys: Table::default(),
             key_ends: VecDeque::new(),
+            of_keys: Table::default(),
             open_keys: Table::default(),
             shares: shares.collect(),
             rate_most: scenario.load.rate * most * crowd,
@@ -374,18 +392,20 @@
             Kind::Unsafe if load.keys > 0 => 1 << 63 | self.things.len() as u64,
             _ => key,
         };
-        let taps = key != 0 && draw.happens(load.taps);
+        let mut taps = Vec::new();
+        while key != 0 && taps.len() < TAPS_MOST && draw.happens(load.taps) {
+            taps.push(30_000 + (draw.share() * 400_000.0) as Micros);
+        }
         let (leaves, leave_share) = (draw.happens(load.leaves), draw.share());
-        let later = 30_000 + (draw.share() * 400_000.0) as Micros;
         let call = self.begin(proxy, class as u8, key);
         if leaves {
             let patience = self.scenario.classes[class].deadline_ms * 1e3;
             queue.put(self.now + (leave_share * patience * 0.2) as Micros, Event::Leave(call).into());
         }
         self.ask(call, queue);
-        if taps && self.now + later <= self.last_ask() {
-            let second = self.begin(proxy, class as u8, key);
-            queue.put(self.now + later, Event::Ask(second).into());
+        for later in taps {
+            let tap = self.begin(proxy, class as u8, key);
+            queue.put(self.now + later, Event::Ask(tap).into());
         }
     }
 
@@ -400,7 +420,9 @@
         let thing = &mut self.things[number as usize];
         thing.tries += 1;
         let again = thing.tries > 1;
-        let share = Draw::new(self.seed, "tenant", u64::from(number), 0).share();
+        // Whoever taps again is the same.
+        let whose = if thing.key == 0 { u64::from(number) } else { thing.key };
+        let share = Draw::new(self.seed, "tenant", whose, 0).share();
         let tenants = &self.scenario.load.tenants;
         let total: f64 = tenants.iter().sum();
         let mut sum = 0.0;
@@ -439,6 +461,12 @@
         let (proxy, class, deadline) = (call.proxy, call.class, call.deadline);
         if call.key != 0 {
             *self.open_keys.entry((proxy, call.key)).or_default() += 1;
+            if self.stores {
+                let key = self.of_keys.entry((proxy, call.key)).or_default();
+                key.asked += 1;
+                self.tally.keys += u64::from(key.asked == 1);
+                self.tally.key_repeats += u64::from(key.asked > 1);
+            }
         }
         let thing = &mut self.things[call.thing as usize];
         if thing.tries == 1 {
@@ -564,6 +592,16 @@
         }
     }
 
+    /// A served answer was made for another call, or for this one: all of one key must be the same.
+    pub fn answer_was_made_for(&mut self, number: u32, made_for: u32) {
+        let call = &self.calls[number as usize];
+        let Some(key) = self.of_keys.get_mut(&(call.proxy, call.key)).filter(|_| call.key != 0) else {
+            return;
+        };
+        self.tally.replays += u64::from(made_for != number);
+        self.tally.two_answers += u64::from(*key.made_for.get_or_insert(made_for) != made_for);
+    }
+
     /// The client tries again, or gives up.
     fn again(
         &mut self,
@@ -617,7 +655,7 @@
             .contains_key(&(self.calls[number as usize].proxy, self.calls[number as usize].key));
         // What crosses the word that nobody waits is no fault: on one machine that takes no time, but a turn.
         let over = match at {
-            _ if joined && scenario.load.keys > 0 => None,
+            _ if joined && self.stores => None,
             At::Answered(then) => (written > then).then_some("after its answer"),
             At::Over(then) => (written > then + GRACE).then_some("after its client had left"),
             At::Before | At::Open => None,
@@ -753,6 +791,13 @@
             let what = format!("it has run again{}", first.unwrap_or_default());
             self.broken(Rule::NoEffectTwice, number, Some(host), what);
         }
+        let call = &self.calls[number as usize];
+        if let Some(key) = self.of_keys.get_mut(&(call.proxy, call.key)).filter(|_| kind == Kind::Unsafe) {
+            key.ran += 1;
+            if key.ran > 1 && !twice {
+                self.broken(Rule::NoEffectTwice, number, Some(host), "its key has run before".to_owned());
+            }
+        }
         if refused && kind == Kind::Unsafe {
             self.broken(Rule::NoEffectTwice, number, Some(host), "it runs, though it was refused".to_owned());
         }
--- a/lab/src/tally.rs
+++ b/lab/src/tally.rs
@@ -105,6 +105,16 @@
     pub opened: u64,
     /// Watches of the list that were begun.
     pub watches: u64,
+    /// Pieces that a cut has held back.
+    pub held: u64,
+    /// Keys that were asked for at proxies with a store of them, and asks beyond the first of each.
+    pub keys: u64,
+    /// See `keys`.
+    pub key_repeats: u64,
+    /// Answers that were made for an earlier call with the key, and those that differ from the key's first.
+    pub replays: u64,
+    /// See `replays`.
+    pub two_answers: u64,
 }
 
 impl Tally {
@@ -120,6 +130,11 @@
             connections: 0,
             opened: 0,
             watches: 0,
+            held: 0,
+            keys: 0,
+            key_repeats: 0,
+            replays: 0,
+            two_answers: 0,
         }
     }
 
