--- a/lab/src/run.rs
+++ b/lab/src/run.rs
@@ -57,7 +57,7 @@
     pub tally: Tally,
     /// Rules that were broken.
     pub breaks: Vec<Break>,
-    /// Keys, and how the store did, where there is one: repeats with an answered key, and those that got its answer.
+    /// What had to hold beside the rules, and did not.
     pub missed: Vec<String>,
 }
 
--- a/lab/tests/determinism.rs
+++ b/lab/tests/determinism.rs
@@ -43,7 +43,6 @@
     }
 }
 
-/// They change with the model, the module and the engine: then they are written anew, and the change is looked at.
 #[test]
 fn hosts_that_no_list_names_change_nothing() {
     for depth in DEPTHS {
--- a/standins/src/demo.rs
+++ b/standins/src/demo.rs
@@ -4,7 +4,7 @@
 use crate::configuration::{configuration, entry};
 use crate::host::Host;
 use crate::ledger::Ledger;
-use crate::load::{Load, Tally};
+use crate::load::{Load, Tally, Times};
 use crate::plan::{Fault, Plan};
 use crate::registry::Registry;
 use nettleworks_engine::config::Config;
@@ -82,12 +82,12 @@
         "{:>3} {:>7} {:>7} {:>6} {:>8} {:>8}  hosts: requests read",
         "s", "served", "refused", "failed", "p50 ms", "p99 ms"
     )?;
-    let mut before = 0;
+    let mut before = Times::default();
     for second in 1..=length.as_secs() {
         sleep((start + Duration::from_secs(second)).saturating_duration_since(Instant::now())).await;
         let now = tally.borrow().clone();
-        let recent = Tally { times: now.times[before..].to_vec(), ..Tally::default() };
-        before = now.times.len();
+        let recent = Tally { times: now.times.since(&before), ..Tally::default() };
+        before = now.times.clone();
         let (p50, p99) = (recent.time(0.5).as_secs_f64() * 1e3, recent.time(0.99).as_secs_f64() * 1e3);
         write!(
             out,
--- a/standins/src/dice.rs
+++ b/standins/src/dice.rs
@@ -4,30 +4,17 @@
 use rand_pcg::Pcg32;
 use std::hash::{Hash, Hasher};
 use std::time::Duration;
+use twox_hash::XxHash64;
 
 /// A source of draws that is the same for the same seed and names.
 #[derive(Clone, Debug)]
 pub struct Dice(Pcg32);
 
-/// FNV-1a: the standard library's hasher may change with its version, and draws with it.
-struct Fnv(u64);
-
-impl Hasher for Fnv {
-    fn finish(&self) -> u64 {
-        self.0
-    }
-
-    fn write(&mut self, bytes: &[u8]) {
-        for &byte in bytes {
-            self.0 = (self.0 ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
-        }
-    }
-}
-
 impl Dice {
     /// Draws of a seed, for what these names stand for.
     pub fn new(seed: u64, names: impl Hash) -> Dice {
-        let mut hash = Fnv(0xcbf2_9ce4_8422_2325 ^ seed);
+        // The standard library's hasher may change with its version, and draws with it.
+        let mut hash = XxHash64::with_seed(seed);
         names.hash(&mut hash);
         Dice(Pcg32::seed_from_u64(hash.finish()))
     }
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -34,7 +34,7 @@
 pub use discovery::{chunk, Discovery, WATCH};
 pub use host::{narrow_listener, ok, turn_away, Act, Host};
 pub use ledger::{Effect, Ledger, Twice};
-pub use load::{Load, Tally};
+pub use load::{Load, Tally, Times};
 pub use message::{Message, Reader};
 pub use over::{over, Sending};
 pub use plan::{Fault, Plan};
--- a/standins/src/load.rs
+++ b/standins/src/load.rs
@@ -2,6 +2,7 @@
 
 use crate::dice::Dice;
 use crate::message::Reader;
+use hdrhistogram::Histogram;
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -24,8 +25,36 @@
     pub lost: u64,
     /// How often clients came again after a refusal.
     pub again: u64,
-    /// Times of the answers that hosts gave.
-    pub times: Vec<Duration>,
+    /// Times of the answers that hosts gave, in microseconds.
+    pub times: Times,
+}
+
+/// Times in microseconds, to three digits. It does not grow with their number.
+#[derive(Clone, Debug)]
+pub struct Times(Histogram<u64>);
+
+impl Default for Times {
+    fn default() -> Self {
+        let mut times = Histogram::new(3).unwrap_or_else(|_| unreachable!("at most 5 digits"));
+        times.auto(true);
+        Times(times)
+    }
+}
+
+impl Times {
+    /// One more.
+    pub fn push(&mut self, time: Duration) {
+        // It grows as far as any time here goes.
+        let _ = self.0.record(u64::try_from(time.as_micros()).unwrap_or(u64::MAX));
+    }
+
+    /// Those that are not in an earlier state of this.
+    pub fn since(&self, before: &Times) -> Times {
+        let mut since = self.clone();
+        // What is subtracted is part of it.
+        let _ = since.0.subtract(&before.0);
+        since
+    }
 }
 
 impl Tally {
@@ -36,10 +65,7 @@
 
     /// The time that this share of the answers (0 to 1) took at most; zero without any.
     pub fn time(&self, share: f64) -> Duration {
-        let mut times = self.times.clone();
-        times.sort_unstable();
-        let place = (times.len().saturating_sub(1) as f64 * share).round() as usize;
-        times.get(place).copied().unwrap_or_default()
+        Duration::from_micros(self.times.0.value_at_quantile(share))
     }
 }
 
