Mend the lab: Envoy's retry budget, connections that stayed for good, bounds of a run

The baseline as Envoy never gave back the place in its retry budget of a retry whose call had ended meanwhile, so it retried less and less. Connections to hosts that vanished, that had started again or had closed unnoticed stayed in the table for the whole run. A scenario could ask for more calls, or pairs of proxy and host, than a machine keeps. The leak of a thread was planted by the length of its id, which two runs may share. Full stack and bridge had the same dispatch twice.

Now a call gives its place back however it ends; the far side of a lost connection is closed too; the check refuses over 20 million first tries and 10 million pairs; a thread's leak is its id; World::handle is the one dispatch.

--- a/lab/src/baseline/mod.rs
+++ b/lab/src/baseline/mod.rs
@@ -87,6 +87,8 @@
     attempts: Vec<(ServerId, Option<Outcome>)>,
     /// It waits to be tried again.
     waits: bool,
+    /// It has a place in the retry budget: from when its repeat is granted until that has ended.
+    budgeted: bool,
 }
 
 impl Call {
@@ -135,9 +137,18 @@
         }
     }
 
+    /// Forgets a call, and gives back its place in the retry budget.
+    fn forget(&mut self, id: CallId) -> Option<Call> {
+        let call = self.calls.remove(&id)?;
+        if let Some((budget, _)) = self.envoy.as_mut().filter(|_| call.budgeted) {
+            budget.ended();
+        }
+        Some(call)
+    }
+
     /// Ends a call unserved; refused only if it surely never ran.
     fn give_up(&mut self, id: CallId, actions: &mut Vec<Action>) {
-        let Some(call) = self.calls.remove(&id) else { return };
+        let Some(call) = self.forget(id) else { return };
         let never = call.attempts.iter().all(|(_, outcome)| outcome.is_some_and(Outcome::never_ran));
         actions.push(match never {
             true => Action::Refuse { call: id, retry_after: COME_BACK },
@@ -154,7 +165,7 @@
         self.picker.ended(now, server, outcome, elapsed);
         if let Some((budget, ejections)) = &mut self.envoy {
             ejections.ended(now, server, outcome, &mut self.picker);
-            if attempt > 0 {
+            if std::mem::take(&mut call.budgeted) {
                 budget.ended();
             }
         }
@@ -162,7 +173,7 @@
             if outcome == Outcome::Unusable && !closed {
                 return self.give_up(id, actions);
             }
-            self.calls.remove(&id);
+            self.forget(id);
             return;
         }
         if call.out() {
@@ -179,7 +190,7 @@
             Some(0) => self.try_call(now, id, actions),
             Some(pause) => {
                 if let Some(call) = self.calls.get_mut(&id) {
-                    call.waits = true;
+                    (call.waits, call.budgeted) = (true, self.envoy.is_some());
                 }
                 self.later.insert((now + pause, id));
             }
@@ -230,13 +241,19 @@
             Event::Request { call, class, time_left, .. } => {
                 let repeat =
                     self.settings.classes.get(class.0).map_or(Repeat::SingleShot, |class| class.repeat);
-                let call_of = Call { repeat, deadline: now + time_left, attempts: Vec::new(), waits: false };
+                let call_of = Call {
+                    repeat,
+                    deadline: now + time_left,
+                    attempts: Vec::new(),
+                    waits: false,
+                    budgeted: false,
+                };
                 self.calls.insert(call, call_of);
                 self.try_call(now, call, actions);
             }
             Event::Outcome { .. } => self.outcome(now, &event, actions),
             Event::Gone { call } => {
-                if let Some(gone) = self.calls.remove(&call) {
+                if let Some(gone) = self.forget(call) {
                     for (attempt, (server, outcome)) in (0..).zip(gone.attempts) {
                         if outcome.is_none() {
                             self.picker.forget(server);
--- a/lab/src/full/bridge.rs
+++ b/lab/src/full/bridge.rs
@@ -1,6 +1,6 @@
 //! The world of the full stack on real time, its connections carried over real sockets on loopback.
 
-use super::net::{Ev, World};
+use super::net::World;
 use super::socket::{Door, Node, Shared};
 use crate::model::Model;
 use crate::queue::Queue;
@@ -164,13 +164,7 @@
                 }
                 let Some((_, event)) = world.queue.take(now) else { break };
                 count += 1;
-                let World { model, queue, .. } = &mut *world;
-                match event {
-                    Ev::Model(event) => model.handle(event, queue),
-                    Ev::Piece { conn, side, piece } => world.piece(conn, side, piece),
-                    Ev::Idle { conn, served } => world.is_idle(conn, served),
-                    Ev::Beat { conn } => world.beat(conn),
-                }
+                world.handle(event);
             }
         }
         self.events += count;
--- a/lab/src/full/net.rs
+++ b/lab/src/full/net.rs
@@ -215,6 +215,16 @@
         }
     }
 
+    /// Does what an event of the queue says.
+    pub fn handle(&mut self, event: Ev) {
+        match event {
+            Ev::Model(event) => self.model.handle(event, &mut self.queue),
+            Ev::Piece { conn, side, piece } => self.piece(conn, side, piece),
+            Ev::Idle { conn, served } => self.is_idle(conn, served),
+            Ev::Beat { conn } => self.beat(conn),
+        }
+    }
+
     /// Sends a piece on its way to a side.
     pub fn put(&mut self, number: ConnId, side: usize, piece: Piece) {
         let Some(conn) = self.conns.get(&number) else { return };
@@ -327,17 +337,19 @@
             self.model.ended_by(call, "stale");
         }
         let at = &self.model.hosts[host];
+        let ends = matches!(piece, Piece::End | Piece::Reset);
         match at.up {
-            Up::Vanished => true,
-            Up::Up if at.epoch == epoch && !stale => false,
-            Up::Up | Up::Dead => {
-                if !matches!(piece, Piece::Reset) {
-                    self.put(number, OPENER, Piece::Reset);
-                }
-                self.uncount(number);
-                true
-            }
+            Up::Up if at.epoch == epoch && !stale => return false,
+            // Nothing is said; but who ends it there will not hear of it again.
+            Up::Vanished => {}
+            Up::Up | Up::Dead if !matches!(piece, Piece::Reset) => self.put(number, OPENER, Piece::Reset),
+            Up::Up | Up::Dead => {}
+        }
+        if ends || self.model.hosts[host].up != Up::Vanished {
+            self.uncount(number);
+            self.abandon(number, TAKER);
         }
+        true
     }
 
     fn opens(&mut self, number: ConnId) {
@@ -347,7 +359,8 @@
             For::Client => {
                 let backlog = self.model.scenario.network.backlog;
                 if !self.model.proxies[proxy].up {
-                    return self.put(number, OPENER, Piece::Reset);
+                    self.put(number, OPENER, Piece::Reset);
+                    return self.abandon(number, TAKER);
                 }
                 let door = &mut self.doors[proxy];
                 if door.waiting.len() >= backlog {
@@ -365,7 +378,8 @@
                 let at = &mut self.model.hosts[host];
                 if at.up != Up::Up || at.connections >= most {
                     self.model.log.note(self.model.now, Of::Connection, [proxy as u64, host as u64, 0]);
-                    return self.put(number, OPENER, Piece::Reset);
+                    self.put(number, OPENER, Piece::Reset);
+                    return self.abandon(number, TAKER);
                 }
                 at.connections += 1;
                 conn.of = For::Host { host, epoch: at.epoch };
@@ -375,7 +389,10 @@
                 self.model.tally.connections = self.model.tally.connections.max(open);
                 self.put(number, OPENER, Piece::Open);
             }
-            For::Discovery if self.model.registry.down => self.put(number, OPENER, Piece::Reset),
+            For::Discovery if self.model.registry.down => {
+                self.put(number, OPENER, Piece::Reset);
+                self.abandon(number, TAKER);
+            }
             For::Discovery => self.put(number, OPENER, Piece::Open),
         }
     }
@@ -405,6 +422,15 @@
         }
     }
 
+    /// A side knows nothing of it any more, and says nothing.
+    pub fn abandon(&mut self, number: ConnId, side: usize) {
+        if let Some(conn) = self.conns.get_mut(&number) {
+            conn.sides[side].closed = true;
+            conn.sides[side].come.clear();
+        }
+        self.tidy(number);
+    }
+
     /// A side closes. What has come and was not read makes it a reset, as systems do.
     pub fn close(&mut self, number: ConnId, side: usize) {
         let Some(conn) = self.conns.get_mut(&number) else { return };
@@ -439,7 +465,6 @@
         };
         if conn.sides[OPENER].reset {
             self.close(number, OPENER);
-            self.forget(number);
             return Poll::Ready(Err(io::ErrorKind::ConnectionRefused.into()));
         }
         if conn.up {
@@ -449,12 +474,6 @@
         Poll::Pending
     }
 
-    /// Nothing of a connection is left on either side.
-    pub fn forget(&mut self, number: ConnId) {
-        self.uncount(number);
-        self.conns.remove(&number);
-    }
-
     pub fn poll_read(
         &mut self,
         number: ConnId,
--- a/lab/src/full/peers.rs
+++ b/lab/src/full/peers.rs
@@ -309,7 +309,7 @@
             }
             if up == Up::Dead && conn.up {
                 self.put(number, OPENER, Piece::Reset);
-                self.close(number, TAKER);
+                self.abandon(number, TAKER);
             }
         }
     }
--- a/lab/src/full/play.rs
+++ b/lab/src/full/play.rs
@@ -1,6 +1,6 @@
 //! Plays a run: the proxies' tasks, and time that moves when none of them can go on.
 
-use super::net::{Ev, World};
+use super::net::World;
 use super::socket::{Door, Node, Shared};
 use crate::model::{Leak, Model};
 use crate::queue::Queue;
@@ -150,7 +150,7 @@
         self.start.elapsed().as_micros() as Micros
     }
 
-    /// Does what is due. `None`: nothing was.
+    /// Does what is due. Whether anything was.
     fn due(&mut self, now: Micros) -> Result<bool, String> {
         let mut any = false;
         loop {
@@ -168,13 +168,7 @@
             let Some((_, event)) = world.queue.take(now) else { return Ok(any) };
             any = true;
             self.events += 1;
-            let World { model, queue, .. } = &mut *world;
-            match event {
-                Ev::Model(event) => model.handle(event, queue),
-                Ev::Piece { conn, side, piece } => world.piece(conn, side, piece),
-                Ev::Idle { conn, served } => world.is_idle(conn, served),
-                Ev::Beat { conn } => world.beat(conn),
-            }
+            world.handle(event);
         }
     }
 
--- a/lab/src/model/mod.rs
+++ b/lab/src/model/mod.rs
@@ -362,7 +362,7 @@
         // At the highest rate that there is; what is over the present one is thinned out.
         let mean = 1e6 * self.scenario.load.proxies as f64 / self.rate_most;
         let gap = Draw::new(self.seed, "gap", u64::from(proxy), *count).gap(mean);
-        let at = from + gap.max(1.0) as Micros;
+        let at = from.saturating_add(gap.max(1.0) as Micros);
         if at <= self.last_ask() {
             queue.put(at, Event::Arrival(proxy).into());
         }
@@ -708,9 +708,12 @@
                 work += f64::from(map.into_keys().next().unwrap_or_default());
             }
             Some(Leak::Thread) => {
-                let other = std::thread::spawn(|| format!("{:?}", std::thread::current().id()).len() as f64);
-                let id = format!("{:?}", std::thread::current().id());
-                work += other.join().unwrap_or_default() + id.bytes().map(f64::from).sum::<f64>();
+                // No two threads of a process have one id.
+                let id = std::thread::spawn(|| format!("{:?}", std::thread::current().id())).join();
+                let id = id.unwrap_or_default();
+                work += f64::from(
+                    id.bytes().fold(0_u16, |sum, byte| sum.wrapping_mul(31).wrapping_add(byte.into())) % 997,
+                );
             }
             None => {}
         }
--- a/lab/src/scenario.rs
+++ b/lab/src/scenario.rs
@@ -308,6 +308,10 @@
     ]
 }
 
+/// Most first tries of a run, and most pairs of a proxy and a host: what a run keeps of each is for its whole time.
+const CALLS_MOST: f64 = 20e6;
+const PAIRS_MOST: usize = 10_000_000;
+
 /// What is wrong with a scenario, and where.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Wrong {
@@ -433,6 +437,13 @@
         count("load.answer", load.answer, 16, 60_000)?;
         count("load.sockets", load.sockets, 64, 1_000_000)?;
         count("load.keys", load.keys, 0, 1_000_000)?;
+        if load.proxies * (fleet.hosts + fleet.spares) > PAIRS_MOST {
+            return wrong("load.proxies", format!("proxies times hosts are over {PAIRS_MOST}"));
+        }
+        let times = load.curve.iter().map(|point| point.1).fold(1.0, f64::max);
+        if load.rate * self.seconds * times > CALLS_MOST {
+            return wrong("load.rate", format!("over {CALLS_MOST} calls in all are more than a run keeps"));
+        }
         for (at, &share) in load.tenants.iter().enumerate() {
             span(&format!("load.tenants[{at}]"), share, 0.0, 1.0)?;
         }
