Test the lab's model and network by themselves, and pure parts against naive models

The judges were only tested by what the engine did and by planted faults: a judge that was too mild somewhere would not have shown, and neither would a connection that stays in the table for good.

--- a/lab/src/full/mod.rs
+++ b/lab/src/full/mod.rs
@@ -10,6 +10,8 @@
 mod peers;
 mod play;
 mod socket;
+#[cfg(test)]
+mod tests;
 mod wire;
 
 pub(crate) use play::play;
--- /dev/null
+++ b/lab/tests/model.rs
@@ -0,0 +1,517 @@
+//! The model by itself: each rule is broken by what breaks it and by nothing less, clients come again as they should, faults
+//! do what they say.
+
+mod common;
+
+use common::scenario;
+use nettleworks_lab::judge::Rule;
+use nettleworks_lab::model::host::{Ends, Up};
+use nettleworks_lab::model::registry::{Entry, Listed, News};
+use nettleworks_lab::model::{Answer, At, Event, Model, Out};
+use nettleworks_lab::queue::Queue;
+use nettleworks_lab::scenario::Kind;
+use nettleworks_lab::Micros;
+use std::rc::Rc;
+
+const MS: Micros = 1_000;
+
+/// A carrier that does nothing by itself.
+struct Carrier {
+    model: Model,
+    queue: Queue<Event>,
+    exchanges: u64,
+}
+
+impl Carrier {
+    fn new(text: &str) -> Carrier {
+        let mut queue = Queue::default();
+        let model = Model::new(Rc::new(scenario(&format!("name = \"x\"\n{text}"))), 1, &mut queue);
+        Carrier { model, queue, exchanges: 0 }
+    }
+
+    /// Lets time pass until then; what the model wants meanwhile.
+    fn until(&mut self, at: Micros) -> Vec<(Micros, Out)> {
+        let mut wanted = Vec::new();
+        while let Some((now, event)) = self.queue.take(at) {
+            self.model.now = now;
+            self.model.handle(event, &mut self.queue);
+            wanted.extend(self.model.out.drain(..).map(|out| (now, out)));
+        }
+        self.model.now = at;
+        wanted
+    }
+
+    /// The next call of a kind, and when it was asked.
+    fn call(&mut self, kind: Kind) -> (u32, Micros) {
+        loop {
+            let Some(at) = self.queue.next_at() else { panic!("no call of {kind:?} comes") };
+            for (now, out) in self.until(at) {
+                if let Out::Ask(call) = out {
+                    if self.kind(call) == kind {
+                        return (call, now);
+                    }
+                }
+            }
+        }
+    }
+
+    fn kind(&self, call: u32) -> Kind {
+        self.model.scenario.classes[usize::from(self.model.call(call).class)].kind
+    }
+
+    /// An attempt that reaches a host and begins to run there.
+    fn runs(&mut self, call: u32, host: usize) -> u64 {
+        self.exchanges += 1;
+        let now = self.model.now;
+        self.model.sent(call, host, now);
+        self.model.reached(call, host, self.exchanges, now + 5_000 * MS, false, &mut self.queue);
+        self.exchanges
+    }
+
+    fn answers(&mut self, call: u32, answer: Answer) {
+        let now = self.model.now;
+        self.model.answered(call, answer, now, &mut self.queue);
+    }
+
+    fn broken(&self) -> Vec<(Rule, u32)> {
+        self.model.breaks.iter().map(|broken| (broken.rule, broken.call)).collect()
+    }
+
+    /// The next try for the same thing.
+    fn tried_again(&mut self, of: u32, within: Micros) -> Option<(u32, Micros)> {
+        let (thing, until) = (self.model.call(of).thing, self.model.now + within);
+        while let Some(at) = self.queue.next_at().filter(|&at| at <= until) {
+            for (now, out) in self.until(at) {
+                match out {
+                    Out::Ask(call) if call != of && self.model.call(call).thing == thing => {
+                        return Some((call, now));
+                    }
+                    _ => {}
+                }
+            }
+        }
+        None
+    }
+}
+
+const USUAL: &str = "seconds = 30.0\n[load]\nproxies = 2\nrate = 20.0\ntaps = 0.0";
+
+#[test]
+fn a_call_without_an_answer_breaks_the_first_rule_at_its_deadline_and_not_before() {
+    let mut carrier = Carrier::new(USUAL);
+    let (call, asked) = carrier.call(Kind::Free);
+    carrier.until(asked + 649 * MS);
+    assert!(!carrier.broken().contains(&(Rule::OneAnswer, call)));
+    let wanted = carrier.until(asked + 651 * MS);
+    assert!(carrier.broken().contains(&(Rule::OneAnswer, call)));
+    // Its client leaves then.
+    assert!(wanted.iter().any(|(_, out)| *out == Out::Leave(call)));
+}
+
+#[test]
+fn an_answer_in_time_is_enough_and_a_second_one_too_much() {
+    let mut carrier = Carrier::new(USUAL);
+    let (call, _) = carrier.call(Kind::Free);
+    carrier.answers(call, Answer::Served);
+    assert_eq!(carrier.broken(), []);
+    carrier.answers(call, Answer::Failed);
+    assert_eq!(carrier.broken(), [(Rule::OneAnswer, call)]);
+}
+
+#[test]
+fn a_connection_that_ends_without_an_answer_is_a_break_unless_its_proxy_has_died() {
+    let mut carrier = Carrier::new(USUAL);
+    let (call, _) = carrier.call(Kind::Unsafe);
+    carrier.answers(call, Answer::Broken);
+    assert_eq!(carrier.broken(), [(Rule::OneAnswer, call)]);
+    let (other, _) = carrier.call(Kind::Unsafe);
+    let proxy = carrier.model.call(other).proxy as usize;
+    carrier.model.proxies[proxy].up = false;
+    carrier.model.breaks.clear();
+    carrier.answers(other, Answer::Broken);
+    assert_eq!(carrier.broken(), []);
+}
+
+#[test]
+fn nothing_is_sent_for_a_call_after_its_answer_or_long_after_its_client_has_left() {
+    let mut carrier = Carrier::new(USUAL);
+    let (call, _) = carrier.call(Kind::Free);
+    let answered = carrier.model.now;
+    carrier.answers(call, Answer::Served);
+    // Written in the very moment, it crosses the answer.
+    carrier.model.sent(call, 0, answered);
+    assert_eq!(carrier.broken(), []);
+    carrier.model.sent(call, 0, answered + 1);
+    assert_eq!(carrier.broken(), [(Rule::OneAnswer, call)]);
+
+    let mut carrier = Carrier::new(&USUAL.replace("taps = 0.0", "taps = 0.0\nleaves = 1.0"));
+    let (call, _) = carrier.call(Kind::Unsafe);
+    let left = loop {
+        let at = carrier.queue.next_at().expect("it leaves");
+        if carrier.until(at).iter().any(|(_, out)| *out == Out::Leave(call)) {
+            break at;
+        }
+    };
+    assert!(matches!(carrier.model.call(call).at, At::Over(_)));
+    carrier.model.sent(call, 0, left + 50 * MS);
+    assert_eq!(carrier.broken(), []);
+    carrier.model.sent(call, 0, left + 50 * MS + 1);
+    assert_eq!(carrier.broken(), [(Rule::OneAnswer, call)]);
+}
+
+#[test]
+fn an_unsafe_call_that_runs_twice_breaks_the_second_rule_wherever_it_runs() {
+    for other in [0, 1] {
+        let mut carrier = Carrier::new(USUAL);
+        let (call, _) = carrier.call(Kind::Unsafe);
+        carrier.runs(call, 0);
+        assert_eq!(carrier.broken(), []);
+        carrier.runs(call, other);
+        assert_eq!(carrier.broken(), [(Rule::NoEffectTwice, call)]);
+    }
+    let mut carrier = Carrier::new(USUAL);
+    let (call, _) = carrier.call(Kind::Free);
+    for host in 0..4 {
+        carrier.runs(call, host);
+    }
+    assert_eq!(carrier.broken(), [], "what is free may run as often as it likes");
+}
+
+#[test]
+fn a_keyed_call_may_run_again_in_its_pod_within_its_window_alone() {
+    // Hosts 0 and 3 are of one pod, 1 is of another; a pod drops repeats for 1.2 s.
+    for (other, after, breaks) in
+        [(3, 1_100 * MS, false), (0, 1_100 * MS, false), (3, 1_300 * MS, true), (1, 100 * MS, true)]
+    {
+        let mut carrier =
+            Carrier::new("seconds = 30.0\n[load]\nproxies = 2\nrate = 20.0\ntaps = 0.0\nzipf = 0.0");
+        let (call, asked) = carrier.call(Kind::Keyed);
+        carrier.runs(call, 0);
+        carrier.model.breaks.clear();
+        carrier.until(asked + after);
+        carrier.model.breaks.clear();
+        carrier.runs(call, other);
+        let twice = carrier.broken().contains(&(Rule::NoEffectTwice, call));
+        assert_eq!(twice, breaks, "host {other} after {after} us");
+    }
+}
+
+#[test]
+fn a_refusal_of_what_has_run_breaks_the_second_rule_and_so_does_a_run_of_what_was_refused() {
+    let mut carrier = Carrier::new(USUAL);
+    let (call, _) = carrier.call(Kind::Unsafe);
+    carrier.runs(call, 2);
+    carrier.answers(call, Answer::Refused(Some(100 * MS)));
+    assert_eq!(carrier.broken(), [(Rule::NoEffectTwice, call)]);
+
+    let mut carrier = Carrier::new(USUAL);
+    let (call, _) = carrier.call(Kind::Unsafe);
+    carrier.model.sent(call, 2, carrier.model.now);
+    carrier.answers(call, Answer::Refused(None));
+    assert_eq!(carrier.broken(), []);
+    carrier.model.reached(call, 2, 1, Micros::MAX, false, &mut carrier.queue);
+    assert_eq!(carrier.broken(), [(Rule::NoEffectTwice, call)]);
+
+    // A failure promises nothing.
+    let mut carrier = Carrier::new(USUAL);
+    let (call, _) = carrier.call(Kind::Unsafe);
+    carrier.runs(call, 2);
+    carrier.answers(call, Answer::Failed);
+    assert_eq!(carrier.broken(), []);
+}
+
+#[test]
+fn the_third_rule_counts_from_what_the_proxy_was_told() {
+    let mut carrier = Carrier::new(USUAL);
+    let (call, asked) = carrier.call(Kind::Free);
+    let proxy = carrier.model.call(call).proxy as usize;
+    let drains = Entry { host: 1, listed: Listed::Terminating, started: 0 };
+    carrier.model.told(proxy, &News { seq: 2, whole: false, entries: vec![drains] });
+    carrier.model.sent(call, 1, asked + 1_050 * MS);
+    assert_eq!(carrier.broken(), []);
+    // The other proxy was told nothing.
+    let told = &carrier.model.proxies[1 - proxy].told;
+    assert!(!told.forbids(asked + 9_000 * MS, 1));
+    carrier.model.sent(call, 1, asked + 1_051 * MS);
+    assert_eq!(carrier.broken(), [(Rule::NothingToTheGone, call)]);
+    // What a whole list leaves out is gone.
+    let only = Entry { host: 0, listed: Listed::Ready, started: 0 };
+    carrier.model.now = asked + 2_000 * MS;
+    carrier.model.told(proxy, &News { seq: 3, whole: true, entries: vec![only] });
+    carrier.model.sent(call, 4, asked + 3_060 * MS);
+    assert_eq!(carrier.broken().len(), 2);
+}
+
+#[test]
+fn a_cold_host_that_is_pushed_over_breaks_the_fourth_rule_and_is_gone() {
+    let fault = "\n[[fault]]\nwhat = \"kill\"\nat = 1.0\nfor = 1.0\nhosts = { these = [0] }";
+    let text = "seconds = 30.0\n[fleet]\nworkers = 1\n[load]\nproxies = 2\nrate = 20.0\ntaps = 0.0";
+    let mut carrier = Carrier::new(&format!("{text}{fault}"));
+    carrier.until(2_001 * MS);
+    assert!(carrier.model.hosts[0].warmth(carrier.model.now, &carrier.model.scenario.fleet) < 0.4);
+    let (call, _) = carrier.call(Kind::Free);
+    let start = carrier.model.now;
+    // Some 6 ms of work each 2 ms, for one worker that does a third of its speed.
+    for step in 0..2_000 {
+        carrier.model.now = start + step * 2 * MS;
+        carrier.model.sent(call, 0, start);
+    }
+    let fourth = carrier.model.breaks.iter().find(|broken| broken.rule == Rule::ColdHostStands);
+    let at = fourth.expect("it is pushed over").at;
+    assert!((start + 2_000 * MS..start + 2_300 * MS).contains(&at), "{}", at - start);
+    assert_eq!(carrier.model.hosts[0].up, Up::Dead);
+    // A warm one bears the same.
+    for step in 0..2_000 {
+        carrier.model.now = start + 10_000 * MS + step * 2 * MS;
+        carrier.model.sent(call, 1, start);
+    }
+    assert_eq!(carrier.model.hosts[1].up, Up::Up);
+}
+
+#[test]
+fn a_refused_client_comes_again_as_it_was_told_and_gives_up_in_the_end() {
+    let mut carrier = Carrier::new(USUAL);
+    let (first, _) = carrier.call(Kind::Unsafe);
+    assert!(!carrier.model.call(first).again);
+    carrier.answers(first, Answer::Refused(Some(700 * MS)));
+    let refused = carrier.model.now;
+    let (second, at) = carrier.tried_again(first, 3_000 * MS).expect("it comes again");
+    assert!(at >= refused + 700 * MS && carrier.model.call(second).again);
+    carrier.answers(second, Answer::Refused(None));
+    let (third, _) = carrier.tried_again(second, 3_000 * MS).expect("and once more");
+    carrier.answers(third, Answer::Refused(None));
+    assert_eq!(carrier.tried_again(third, 9_000 * MS), None, "three tries are enough");
+}
+
+#[test]
+fn what_may_have_run_is_repeated_by_its_client_only_where_that_does_no_harm() {
+    for (kind, comes) in [(Kind::Free, true), (Kind::Keyed, true), (Kind::Unsafe, false)] {
+        let mut carrier = Carrier::new(USUAL);
+        let (call, _) = carrier.call(kind);
+        carrier.answers(call, Answer::Failed);
+        let again = carrier.tried_again(call, 2_000 * MS);
+        assert_eq!(again.is_some(), comes, "{kind:?}");
+        if let Some((again, _)) = again {
+            assert_eq!(carrier.model.call(again).key, carrier.model.call(call).key);
+        }
+    }
+}
+
+#[test]
+fn calls_come_by_the_rate_and_its_curve_and_each_class_has_its_share() {
+    let text = "seconds = 60.0\n[load]\nproxies = 3\nrate = 400.0\ntaps = 0.0\n\
+                curve = [[0.0, 1.0], [20.0, 1.0], [20.001, 3.0], [40.0, 3.0], [60.0, 0.0]]";
+    let mut carrier = Carrier::new(text);
+    let mut asked = [0_u32; 60];
+    let mut kinds = [0_u32; 3];
+    let mut proxies = [0_u32; 3];
+    while let Some(at) = carrier.queue.next_at().filter(|&at| at <= 60_000_000) {
+        for (now, out) in carrier.until(at) {
+            if let Out::Ask(call) = out {
+                asked[((now - 1) / 1_000_000) as usize] += 1;
+                kinds[carrier.kind(call) as usize] += 1;
+                proxies[carrier.model.call(call).proxy as usize] += 1;
+                carrier.answers(call, Answer::Served);
+            }
+        }
+    }
+    let a_second =
+        |from: usize, to: usize| f64::from(asked[from..to].iter().sum::<u32>()) / (to - from) as f64;
+    assert!((380.0..420.0).contains(&a_second(0, 20)), "{}", a_second(0, 20));
+    assert!((1_150.0..1_250.0).contains(&a_second(21, 40)), "{}", a_second(21, 40));
+    assert!((560.0..640.0).contains(&a_second(40, 60)), "{}", a_second(40, 60));
+    let all = f64::from(kinds.iter().sum::<u32>());
+    for (count, share) in kinds.into_iter().zip([0.5, 0.35, 0.15]) {
+        assert!((f64::from(count) / all - share).abs() < 0.02, "{kinds:?}");
+    }
+    assert!(proxies.iter().all(|&count| (f64::from(count) / all - 1.0 / 3.0).abs() < 0.02), "{proxies:?}");
+    let all = &carrier.model.tally.all;
+    assert!((all.served() - 1.0).abs() < 1e-9 && all.wanted > 40_000);
+}
+
+#[test]
+fn a_tap_has_the_key_of_the_first_and_a_popular_members_entries_share_keys_within_a_window() {
+    let text = "seconds = 20.0\n[load]\nproxies = 1\nrate = 300.0\ntaps = 0.5\nmembers = 1000000\nzipf = 0.0";
+    let mut carrier = Carrier::new(text);
+    let mut keys = std::collections::BTreeMap::<u64, Vec<Micros>>::new();
+    for (now, out) in carrier.until(20_000_000) {
+        if let Out::Ask(call) = out {
+            if carrier.kind(call) == Kind::Keyed {
+                keys.entry(carrier.model.call(call).key).or_default().push(now);
+            }
+        }
+    }
+    let tapped = keys.values().filter(|times| times.len() > 1).count() as f64 / keys.len() as f64;
+    assert!((0.4..0.6).contains(&tapped), "{tapped}");
+    for times in keys.values() {
+        // A member who comes by chance in the same window is one in thousands.
+        assert!(times.len() <= 4 && times[times.len() - 1] - times[0] < 450 * MS, "{times:?}");
+    }
+}
+
+fn with_fault(fault: &str) -> Carrier {
+    Carrier::new(&format!("seconds = 30.0\n[load]\nproxies = 2\nrate = 1.0\n[[fault]]\nat = 2.0\n{fault}"))
+}
+
+fn listed(carrier: &Carrier) -> Vec<Listed> {
+    (0..6).map(|host| carrier.model.registry.entry(host).listed).collect()
+}
+
+#[test]
+fn a_killed_host_is_noticed_late_and_comes_back_cold_under_its_number() {
+    let mut carrier = with_fault("what = \"kill\"\nfor = 6.0\nhosts = { these = [2] }");
+    carrier.until(2_000 * MS);
+    assert_eq!((carrier.model.hosts[2].up, listed(&carrier)[2]), (Up::Dead, Listed::Ready));
+    carrier.until(2_000 * MS + 3_049 * MS);
+    assert_eq!(listed(&carrier)[2], Listed::Ready);
+    carrier.until(2_000 * MS + 3_051 * MS);
+    assert_eq!(listed(&carrier)[2], Listed::Gone);
+    carrier.until(8_000 * MS);
+    assert_eq!((carrier.model.hosts[2].up, listed(&carrier)[2]), (Up::Up, Listed::Gone));
+    assert!((carrier.model.hosts[2].warmth(8_000 * MS, &carrier.model.scenario.fleet) - 0.31).abs() < 1e-9);
+    carrier.until(8_300 * MS);
+    let entry = carrier.model.registry.entry(2);
+    assert_eq!((entry.listed, entry.started), (Listed::Ready, 8_000 * MS));
+    assert!((carrier.model.hosts[2].warmth(16_000 * MS, &carrier.model.scenario.fleet) - 1.0).abs() < 1e-9);
+}
+
+#[test]
+fn what_ran_on_a_host_that_died_says_nothing_any_more() {
+    let mut carrier = with_fault("what = \"vanish\"\nfor = 1.0\nhosts = { these = [0] }\n");
+    let (call, _) = carrier.call(Kind::Free);
+    carrier.until(1_999 * MS);
+    let exchange = carrier.runs(call, 0);
+    let said = carrier
+        .until(9_000 * MS)
+        .into_iter()
+        .any(|(_, out)| matches!(out, Out::Says { exchange: of, .. } if of == exchange));
+    assert!(!said && carrier.model.hosts[0].in_hand() == 0);
+}
+
+#[test]
+fn a_host_that_drains_turns_away_what_comes_and_ends_what_it_has() {
+    let mut carrier = with_fault("what = \"drain\"\nfor = 5.0\nhosts = { these = [1] }");
+    let (call, _) = carrier.call(Kind::Free);
+    carrier.until(1_999 * MS);
+    let before = carrier.runs(call, 1);
+    carrier.until(2_000 * MS);
+    let after = carrier.runs(call, 1);
+    let mut said: Vec<(u64, Ends)> = carrier.model.out.drain(..).filter_map(ends).collect();
+    said.extend(carrier.until(3_000 * MS).into_iter().filter_map(|(_, out)| ends(out)));
+    said.sort_unstable_by_key(|(exchange, _)| *exchange);
+    assert_eq!(said, [(before, Ends::Served), (after, Ends::TurnedAway)]);
+    assert_eq!(listed(&carrier)[1], Listed::Terminating);
+    carrier.until(3_600 * MS);
+    assert_eq!(carrier.model.hosts[1].up, Up::Dead);
+}
+
+fn ends(out: Out) -> Option<(u64, Ends)> {
+    match out {
+        Out::Says { exchange, ends, .. } => Some((exchange, ends)),
+        _ => None,
+    }
+}
+
+#[test]
+fn a_stalled_host_does_nothing_and_then_goes_on() {
+    let mut carrier = with_fault("what = \"stall\"\nfor = 3.0\nhosts = { these = [0] }");
+    let (call, _) = carrier.call(Kind::Free);
+    carrier.until(1_999 * MS);
+    let before = carrier.runs(call, 0);
+    carrier.until(2_500 * MS);
+    let meanwhile = carrier.runs(call, 0);
+    let said: Vec<_> =
+        carrier.until(5_500 * MS).into_iter().filter_map(|(now, out)| Some((now, ends(out)?))).collect();
+    assert_eq!(said.len(), 2);
+    assert!(said.iter().all(|(now, _)| *now >= 5_000 * MS), "{said:?}");
+    assert!(
+        said.iter().any(|(_, (of, _))| *of == before) && said.iter().any(|(_, (of, _))| *of == meanwhile)
+    );
+}
+
+#[test]
+fn a_slow_host_takes_so_many_times_as_long_and_a_silent_one_runs_and_says_nothing() {
+    let time = |what: &str| {
+        let mut carrier = with_fault(&format!("{what}\nfor = 20.0\nhosts = {{ these = [0] }}"));
+        let (call, _) = carrier.call(Kind::Unsafe);
+        carrier.until(carrier.model.now.max(2_500 * MS));
+        let (start, exchange) = (carrier.model.now, carrier.runs(call, 0));
+        let said = carrier.until(start + 3_000 * MS);
+        let ran = carrier.model.log.last().iter().any(|noted| noted.of == nettleworks_lab::log::Of::Ran);
+        let end = said.into_iter().find_map(|(now, out)| (ends(out)?.0 == exchange).then_some(now));
+        (end.map(|end| end - start), ran)
+    };
+    let (well, _) = time("what = \"slow\"\nmuch = 1.0");
+    let (slow, _) = time("what = \"slow\"\nmuch = 7.0");
+    let by = slow.expect("it ends") as f64 / well.expect("it ends") as f64;
+    assert!((6.99..7.01).contains(&by), "{by}");
+    let (silent, _) = time("what = \"silent\"");
+    assert_eq!(silent, None);
+}
+
+#[test]
+fn shares_of_exchanges_end_badly_and_half_of_those_have_run() {
+    for (what, bad) in [("errors", Ends::Error), ("resets", Ends::Reset), ("turn-away", Ends::TurnedAway)] {
+        let mut carrier = Carrier::new(&format!(
+            "seconds = 30.0\n[fleet]\nworkers = 1000\n[load]\nproxies = 2\nrate = 200.0\ntaps = 0.0\n\
+             [[fault]]\nat = 0.0\nfor = 30.0\nmuch = 0.4\nwhat = \"{what}\""
+        ));
+        let (mut all, mut ended, mut ran) = (0, 0, 0);
+        while let Some(at) = carrier.queue.next_at().filter(|&at| at <= 30_000_000) {
+            for (_, out) in carrier.until(at) {
+                match out {
+                    Out::Ask(call) if carrier.kind(call) == Kind::Unsafe => {
+                        all += 1;
+                        let exchange = carrier.runs(call, (call % 6) as usize);
+                        let at_once = carrier.model.out.drain(..).filter_map(ends).collect::<Vec<_>>();
+                        let now = at_once.contains(&(exchange, bad));
+                        ended += u32::from(now);
+                        carrier.answers(call, Answer::Failed);
+                    }
+                    Out::Ask(call) => carrier.answers(call, Answer::Failed),
+                    out => {
+                        let late = ends(out).is_some_and(|(_, ends)| ends == bad);
+                        ended += u32::from(late);
+                        ran += u32::from(late);
+                    }
+                }
+            }
+        }
+        let (share, of_those) = (f64::from(ended) / f64::from(all), f64::from(ran) / f64::from(ended));
+        assert!(all > 700 && (0.33..0.47).contains(&share), "{what}: {share} of {all}");
+        let runs = if what == "turn-away" { 0.0..0.001 } else { 0.38..0.62 };
+        assert!(runs.contains(&of_those), "{what}: {of_those} have run");
+    }
+}
+
+#[test]
+fn discovery_is_down_silent_wrong_and_flaps_for_as_long_as_it_says() {
+    let mut carrier = with_fault("what = \"discovery-down\"\nfor = 2.0");
+    carrier.until(2_000 * MS);
+    assert!(carrier.model.registry.down);
+    carrier.until(4_000 * MS);
+    assert!(!carrier.model.registry.down);
+
+    let mut carrier = with_fault("what = \"discovery-wrong\"\nfor = 2.0\nhosts = { these = [0, 4] }");
+    carrier.until(2_051 * MS);
+    assert_eq!(
+        (listed(&carrier)[0], listed(&carrier)[1], listed(&carrier)[4]),
+        (Listed::Gone, Listed::Ready, Listed::Gone)
+    );
+    assert_eq!(carrier.model.hosts[0].up, Up::Up, "it is there all the same");
+    carrier.until(4_051 * MS);
+    assert_eq!(listed(&carrier), [Listed::Ready; 6]);
+
+    let mut carrier =
+        with_fault("what = \"discovery-flaps\"\nfor = 3.0\nmuch = 2.0\nhosts = { these = [3] }");
+    let mut seen = Vec::new();
+    for step in 0..50 {
+        carrier.until(2_000 * MS + step * 100 * MS);
+        let now = listed(&carrier)[3];
+        if seen.last() != Some(&now) {
+            seen.push(now);
+        }
+    }
+    // Twice a second, there and back, and there in the end.
+    assert!(seen.len() >= 10 && seen.last() == Some(&Listed::Ready), "{seen:?}");
+}
--- /dev/null
+++ b/lab/tests/properties.rs
@@ -0,0 +1,361 @@
+//! Pure parts against naive models, under random steps with fixed seeds.
+
+mod common;
+
+use nettleworks_lab::draw::Draw;
+use nettleworks_lab::fault::{settle, Chaos, Fault, What, Which};
+use nettleworks_lab::judge::Told;
+use nettleworks_lab::log::{Log, Of};
+use nettleworks_lab::model::host::{Ends, Host, Job, Taken, Up};
+use nettleworks_lab::model::registry::{Entry, Listed, Registry};
+use nettleworks_lab::queue::Queue;
+use nettleworks_lab::scenario::{Fleet, Scenario};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use std::collections::{BTreeMap, BTreeSet};
+
+const RUNS: u32 = 200;
+
+fn runner() -> TestRunner {
+    let config = Config { cases: RUNS, failure_persistence: None, ..Config::default() };
+    TestRunner::new_with_rng(config, TestRng::deterministic_rng(RngAlgorithm::ChaCha))
+}
+
+#[test]
+fn the_queue_gives_what_a_stable_sort_gives() {
+    let steps = prop::collection::vec((0_u64..40, any::<bool>()), 0..120);
+    let run = runner().run(&steps, |steps| {
+        let mut queue = Queue::default();
+        let mut naive: Vec<(u64, usize)> = Vec::new();
+        for (number, (at, takes)) in steps.into_iter().enumerate() {
+            if takes {
+                naive.sort_by_key(|(at, _)| *at);
+                let due = naive.first().copied().filter(|(first, _)| *first <= at);
+                if due.is_some() {
+                    naive.remove(0);
+                }
+                prop_assert_eq!(queue.take(at), due);
+            } else {
+                queue.put(at, number);
+                naive.push((at, number));
+            }
+            prop_assert_eq!((queue.len(), queue.is_empty()), (naive.len(), naive.is_empty()));
+            prop_assert_eq!(queue.next_at(), naive.iter().map(|(at, _)| *at).min());
+        }
+        Ok(())
+    });
+    run.unwrap_or_else(|error| panic!("{error}"));
+}
+
+#[derive(Clone, Debug)]
+enum Change {
+    Set {
+        host: usize,
+        listed: u8,
+        started: u64,
+    },
+    /// A watch hears what is new.
+    Hear(usize),
+    /// A watch comes back and has lost all, or knows a version of another registry.
+    Forget(usize, bool),
+}
+
+#[test]
+fn whoever_hears_news_has_the_registrys_list_whatever_was_missed() {
+    const HOSTS: usize = 5;
+    let change = prop_oneof![
+        4 => (0..HOSTS, 0_u8..3, 0_u64..4).prop_map(|(host, listed, started)| Change::Set { host, listed, started }),
+        3 => (0_usize..3).prop_map(Change::Hear),
+        1 => (0_usize..3, any::<bool>()).prop_map(|(watch, other)| Change::Forget(watch, other)),
+    ];
+    let run = runner().run(&prop::collection::vec(change, 0..120), |changes| {
+        let mut registry = Registry::new(HOSTS);
+        let mut watches: Vec<(Option<u64>, BTreeMap<usize, Entry>)> = vec![(None, BTreeMap::new()); 3];
+        for change in changes {
+            match change {
+                Change::Set { host, listed, started } => {
+                    let listed = [Listed::Ready, Listed::Terminating, Listed::Gone][usize::from(listed)];
+                    let entry = Entry { host, listed, started };
+                    let (before, differs) = (registry.seq(), registry.entry(host) != entry);
+                    prop_assert_eq!(registry.set(entry), differs);
+                    prop_assert_eq!(registry.seq(), before + u64::from(differs));
+                }
+                Change::Hear(watch) => {
+                    let (since, list) = &mut watches[watch];
+                    let Some(news) = registry.news(*since) else {
+                        prop_assert_eq!(*since, Some(registry.seq()));
+                        continue;
+                    };
+                    if news.whole {
+                        list.clear();
+                    }
+                    for entry in news.entries {
+                        list.insert(entry.host, entry);
+                    }
+                    *since = Some(news.seq);
+                    let list: Vec<Entry> =
+                        list.values().copied().filter(|e| e.listed != Listed::Gone).collect();
+                    let all = (0..HOSTS).map(|host| registry.entry(host));
+                    let listed: Vec<Entry> = all.filter(|entry| entry.listed != Listed::Gone).collect();
+                    prop_assert_eq!(list, listed);
+                }
+                Change::Forget(watch, other) => {
+                    watches[watch] = (other.then_some(registry.seq() + 1_000), BTreeMap::new());
+                }
+            }
+        }
+        Ok(())
+    });
+    run.unwrap_or_else(|error| panic!("{error}"));
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Take { work: u16, patience: u16 },
+    Pass(u16),
+    Forget(u8),
+    Down,
+    Drain,
+}
+
+/// What a host has in hand is what came, less what has ended; it works on no more than it has workers for, and begins in
+/// the order in which requests came.
+#[test]
+fn a_host_loses_and_makes_nothing() {
+    let step = prop_oneof![
+        8 => (1_u16..400, 1_u16..900).prop_map(|(work, patience)| Step::Take { work, patience }),
+        6 => (0_u16..300).prop_map(Step::Pass),
+        2 => any::<u8>().prop_map(Step::Forget),
+        1 => Just(Step::Down),
+        1 => Just(Step::Drain),
+    ];
+    let fleet = Fleet { workers: 3, queue: 4, choke_from: 4, choke_slope: 0.5, ..Fleet::default() };
+    let run = runner().run(&prop::collection::vec(step, 0..150), |steps| {
+        let mut host = Host::new(0, &fleet);
+        let (mut now, mut next) = (0_u64, 0_u64);
+        let mut running = BTreeMap::<u64, u64>::new();
+        let mut waiting = Vec::<Job>::new();
+        for step in steps {
+            match step {
+                Step::Take { work, patience } => {
+                    next += 1;
+                    let until = now + u64::from(patience);
+                    let job = Job { exchange: next, call: 0, until, work: work.into(), ends: Ends::Served };
+                    match host.take(now, job, &fleet) {
+                        Taken::Begun(end) => {
+                            prop_assert!(running.len() < 3 && waiting.is_empty() || running.len() < 3);
+                            prop_assert!(end >= now + u64::from(work).min(1) && end > now);
+                            running.insert(next, end);
+                        }
+                        Taken::Waits => {
+                            prop_assert!(running.len() == 3 && waiting.len() < 4);
+                            waiting.push(job);
+                        }
+                        Taken::Not(ends) => {
+                            prop_assert_eq!(ends, Ends::TurnedAway);
+                            prop_assert!(host.drains || running.len() == 3 && waiting.len() == 4);
+                        }
+                    }
+                }
+                Step::Pass(time) => {
+                    now += u64::from(time);
+                    let due: Vec<u64> =
+                        running.iter().filter(|(_, end)| **end <= now).map(|(&number, _)| number).collect();
+                    for number in due {
+                        prop_assert!(host.done(number).is_some() && host.done(number).is_none());
+                        running.remove(&number);
+                        let mut late = Vec::new();
+                        let begun = host.next(now, &fleet, &mut late);
+                        for job in late {
+                            prop_assert_eq!(job, waiting.remove(0));
+                            prop_assert!(now >= job.until);
+                        }
+                        if let Some((job, end)) = begun {
+                            prop_assert_eq!(job, waiting.remove(0));
+                            prop_assert!(now < job.until && end > now);
+                            running.insert(job.exchange, end);
+                        }
+                    }
+                }
+                Step::Forget(which) => {
+                    if let Some(place) = usize::from(which).checked_rem(waiting.len()) {
+                        host.forget(waiting.remove(place).exchange);
+                    }
+                }
+                Step::Down => {
+                    let epoch = host.epoch;
+                    host.down(Up::Dead);
+                    host.start(now);
+                    prop_assert!(host.epoch > epoch && !host.drains);
+                    running.clear();
+                    waiting.clear();
+                }
+                Step::Drain => host.drains = true,
+            }
+            prop_assert_eq!((host.in_hand(), host.waiting()), (running.len() + waiting.len(), waiting.len()));
+        }
+        Ok(())
+    });
+    run.unwrap_or_else(|error| panic!("{error}"));
+}
+
+#[test]
+fn what_was_told_is_what_a_list_of_tellings_says() {
+    let telling = (0_usize..4, any::<bool>(), 0_u64..3_000_000);
+    let run = runner().run(&prop::collection::vec(telling, 0..60), |tellings| {
+        let mut told = Told::default();
+        let mut naive: BTreeMap<usize, u64> = BTreeMap::new();
+        let mut now = 0;
+        for (host, ready, later) in tellings {
+            now += later;
+            told.of(now, host, ready);
+            if ready {
+                naive.remove(&host);
+            } else {
+                naive.entry(host).or_insert(now);
+            }
+            for host in 0..4 {
+                for at in [now, now + 1_050_000, now + 1_050_001] {
+                    let forbidden = naive.get(&host).is_some_and(|since| at > since + 1_050_000);
+                    prop_assert_eq!(told.forbids(at, host), forbidden);
+                }
+            }
+        }
+        Ok(())
+    });
+    run.unwrap_or_else(|error| panic!("{error}"));
+}
+
+fn which() -> impl Strategy<Value = Which> {
+    prop_oneof![
+        Just(Which::All),
+        prop::collection::btree_set(0_usize..6, 1..4)
+            .prop_map(|these| Which::These(these.into_iter().collect())),
+        (1_usize..6).prop_map(Which::Any),
+        (0_usize..2).prop_map(Which::Zone),
+    ]
+}
+
+fn any_fault() -> impl Strategy<Value = Fault> {
+    let what = (0..What::ALL.len()).prop_map(|place| What::ALL[place]);
+    (what, 0.0..9.0_f64, 0.001..4.0_f64, which(), which(), prop_oneof![Just(0.0), 0.01..0.5_f64]).prop_map(
+        |(what, at, lasts, hosts, proxies, stagger)| Fault {
+            what,
+            at: None,
+            between: Some((at, at + 1.0)),
+            lasts,
+            hosts,
+            proxies,
+            stagger,
+            much: None,
+        },
+    )
+}
+
+/// A settled scenario has no draw left, is good, is written and read without a change, and settles to itself.
+#[test]
+fn settled_scenarios_are_whole_and_stay_as_they_are() {
+    let scenario = (prop::collection::vec(any_fault(), 0..8), 0_usize..6, any::<u64>());
+    let run = runner().run(&scenario, |(faults, chaos, seed)| {
+        let mut scenario = common::scenario("name = \"x\"\nseconds = 10.0\n[load]\nproxies = 6");
+        scenario.faults = faults;
+        scenario.chaos = (chaos > 0).then_some(Chaos { faults: chaos, what: Vec::new(), lasts: (0.05, 2.0) });
+        prop_assert!(scenario.check().is_ok(), "{:?}", scenario.check());
+        let settled = settle(&scenario, seed);
+        prop_assert!(settled.check().is_ok() && settled.chaos.is_none(), "{:?}", settled.check());
+        prop_assert!(settled.faults.len() >= chaos);
+        for fault in &settled.faults {
+            prop_assert!(fault.at.is_some() && fault.between.is_none() && fault.stagger == 0.0);
+            for which in [&fault.hosts, &fault.proxies] {
+                let numbers: BTreeSet<usize> = which.numbers(6).into_iter().collect();
+                prop_assert!(
+                    !numbers.is_empty() && (0..6).all(|one| which.holds(one) == numbers.contains(&one))
+                );
+            }
+        }
+        let read = Scenario::parse(&settled.text());
+        prop_assert_eq!(read.as_ref(), Ok(&settled));
+        prop_assert_eq!(&settle(&settled, seed), &settled);
+        prop_assert_eq!(&settle(&scenario, seed), &settled);
+        Ok(())
+    });
+    run.unwrap_or_else(|error| panic!("{error}"));
+}
+
+#[test]
+fn one_fault_more_moves_no_other_that_is_drawn() {
+    let mut scenario = common::shipped("chaos");
+    let first = settle(&scenario, 9);
+    let more = scenario.chaos.as_mut().expect("chaos");
+    more.faults += 1;
+    let second = settle(&scenario, 9);
+    assert_eq!(second.faults[..first.faults.len()], first.faults);
+    assert_ne!(settle(&scenario, 10).faults, second.faults);
+}
+
+#[test]
+fn a_light_scenario_has_the_same_faults_and_is_good() {
+    for name in
+        ["cold-fleet", "rolling-release", "dawn", "metastable", "discovery-dead-then-wrong", "key-storm"]
+    {
+        let whole = common::shipped(name);
+        let light = whole.light(8.0, 100.0);
+        assert!(light.check().is_ok(), "{name}: {:?}", light.check());
+        assert!(light.seconds <= 8.0 && light.load.rate <= 100.0);
+        assert_eq!(light.faults.len(), whole.faults.len());
+        for (light, whole) in light.faults.iter().zip(&whole.faults) {
+            assert_eq!((light.what, light.lasts, &light.hosts), (whole.what, whole.lasts, &whole.hosts));
+        }
+        // One that is light already stays as it is.
+        assert_eq!(light.light(8.0, 100.0), light);
+    }
+}
+
+#[test]
+fn the_log_keeps_the_last_events_and_its_hash_tells_every_difference() {
+    let of = |events: &[(u64, Of, [u64; 3])]| {
+        let mut log = Log::default();
+        events.iter().for_each(|&(at, of, is)| log.note(at, of, is));
+        (log.hash(), log.count(), log.last())
+    };
+    let events: Vec<(u64, Of, [u64; 3])> = (0..100).map(|n| (n, Of::Sent, [n, 2 * n, 3])).collect();
+    let (hash, count, last) = of(&events);
+    assert_eq!((count, last.len(), last[last.len() - 1].at), (100, 48, 99));
+    assert_eq!(of(&events).0, hash);
+    let mut seen = BTreeSet::from([hash]);
+    for place in [0, 50, 99] {
+        let mut other = events.clone();
+        other[place].0 += 1;
+        assert!(seen.insert(of(&other).0));
+        let mut other = events.clone();
+        other[place].1 = Of::Ran;
+        assert!(seen.insert(of(&other).0));
+        for figure in 0..3 {
+            let mut other = events.clone();
+            other[place].2[figure] += 1;
+            assert!(seen.insert(of(&other).0));
+        }
+    }
+    let mut other = events.clone();
+    other.swap(3, 4);
+    assert!(seen.insert(of(&other).0), "the order counts");
+    assert!(seen.insert(of(&events[1..]).0));
+}
+
+#[test]
+fn some_of_many_are_as_many_as_asked_for_each_as_likely() {
+    let mut counts = [0_u32; 10];
+    for seed in 0..4_000 {
+        let some = Draw::new(seed, "some", 0, 0).some_of(3, 10);
+        assert!(some.len() == 3 && some.windows(2).all(|pair| pair[0] < pair[1]) && some[2] < 10);
+        some.into_iter().for_each(|one| counts[one] += 1);
+    }
+    assert!(counts.iter().all(|count| (1_080..1_320).contains(count)), "{counts:?}");
+    assert_eq!(Draw::new(1, "some", 0, 0).some_of(9, 2), [0, 1]);
+    // Zipf's law: the first of a thousand comes about twice as often as the second.
+    let rank = |n| Draw::new(n, "rank", 0, 0).rank(1_000, 1.0);
+    let ranks: Vec<u64> = (0..20_000).map(rank).collect();
+    let of = |one: u64| ranks.iter().filter(|&&rank| rank == one).count() as f64;
+    assert!((1.8..2.2).contains(&(of(1) / of(2))), "{} {}", of(1), of(2));
+    assert!(ranks.iter().all(|rank| (1..=1_000).contains(rank)));
+}
