Pace first calls to cold hosts by who is there now, not by who was when each was listed

Hosts that come up after a power cut are listed one after the other. Each one's wait for its first call was drawn when it was listed, beside others that were still taken for warm or not there: some waited for a span of many seconds though nobody else was left to take the calls, and where one came first many balancers sent to it at once (231 first calls of 64 balancers to 4 hosts within half a second).

A server keeps its drawn part until its first call, and the wait that this is a part of is reckoned again with each change of the list. As many go at once as by the stated share of a cold server, however short the wait of the others.

--- a/policy/src/balance.rs
+++ b/policy/src/balance.rs
@@ -83,6 +83,8 @@
     /// While cold it is sent nothing before that many answers of this balancer, or before this time.
     cold_answers: u64,
     cold_until: Micros,
+    /// What it waits for its first call by, until that is sent.
+    first: Option<cold::First>,
     /// Where room is shared in the process: this balancer's part, and whether it may go beyond by a trial.
     room: Option<(u32, bool)>,
     /// When its last report was made.
@@ -343,10 +345,7 @@
             if found.is_err() || entry.started > self.servers[place].started {
                 let mut server = Server::new(entry, &self.settings);
                 server.kept_busy(self.longest_usual(), self.sends, 1.0);
-                // Balancers hear of a cold server together: each waits a random part before its first call.
-                let (gap, span) = self.cold_gap(now, &server);
-                server.cold_answers = self.served.saturating_add(self.below(gap));
-                server.cold_until = now.saturating_add(self.below(span));
+                server.first = Some(self.first(now));
                 self.servers.splice(place..place + usize::from(found.is_ok()), [server]);
             }
             let server = &mut self.servers[place];
@@ -355,6 +354,7 @@
             server.weight = if entry.weight.is_finite() && entry.weight > 0.0 { entry.weight } else { 1.0 };
         }
         self.servers.retain(|s| s.listed || s.in_flight > 0);
+        self.pace_first_calls(now);
         self.count();
     }
 
@@ -718,10 +718,8 @@
     }
 
     fn send(&mut self, now: Micros, id: CallId, place: usize, trial: Trial, actions: &mut Actions) {
-        let (gap, span) = self.cold_gap(now, &self.servers[place]);
+        self.pace_next_call(now, place);
         let server = &mut self.servers[place];
-        (server.cold_answers, server.cold_until) =
-            (self.served.saturating_add(gap), now.saturating_add(span));
         self.sends += 1;
         server.in_flight += 1;
         server.budget.trial_out |= trial == Trial::Server;
--- a/policy/src/balance/cold.rs
+++ b/policy/src/balance/cold.rs
@@ -1,4 +1,9 @@
-//! How calls to cold servers are paced.
+//! How calls to cold servers are paced: by own answers, each server by its stated share of what a warm one
+//! does. Any number of balancers keep it safe so, and fast refusals earn nothing. Without answers a server is
+//! tried after a span that leaves it less than one call in flight from all.
+//!
+//! Where none is warm, as after a power cut, nobody else takes the rest: by their stated shares alone calls
+//! would become fewer with each round of answers, and a fleet that could serve would refuse until it is warm.
 
 use super::{Balancer, Server};
 use crate::api::Micros;
@@ -6,32 +11,87 @@
 /// How much more than its part a cold server is sent where none is warm: calls become more by a
 /// fifth a round.
 const COLD_MORE: f64 = 1.2;
+/// Parts of a whole that are drawn.
+const PARTS: u64 = 1 << 20;
+
+/// A server's wait for its first call. Balancers hear of a cold server together: each waits a random part.
+/// What it is a part of may change until then, as the others start or warm up.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct First {
+    since: Micros,
+    served: u64,
+    part: f64,
+    span_part: f64,
+}
+
+/// What the listed servers can do: all of it, what they can now, and what those can that are warm.
+struct Ready {
+    whole: f64,
+    now: f64,
+    warm: f64,
+}
+
+/// For a cold server: answers by its stated share, answers that are waited for, and the longest wait.
+struct Gap {
+    stated: u64,
+    answers: u64,
+    span: Micros,
+}
 
 impl Balancer {
-    /// Own answers for each call to a cold server, by its stated share of what a warm one does: any number
-    /// of balancers keep it safe so, and fast refusals earn nothing. Without answers it is tried after a span
-    /// that leaves it less than one call in flight from all.
-    ///
-    /// Where none is warm, as after a power cut, nobody else takes the rest: by their stated shares alone
-    /// calls would become fewer with each round of answers, and a fleet that could serve would refuse until
-    /// it is warm.
-    pub(super) fn cold_gap(&self, now: Micros, server: &Server) -> (u64, Micros) {
-        let rules = &self.settings.rules;
-        let (warmth, size) = (server.warmth(now, rules), self.servers.len().max(1) as f64);
-        if warmth >= 1.0 {
-            return (0, 0);
+    /// Draws a new server's part.
+    pub(super) fn first(&mut self, now: Micros) -> First {
+        let mut part = || self.below(PARTS) as f64 / PARTS as f64;
+        let (part, span_part) = (part(), part());
+        First { since: now, served: self.served, part, span_part }
+    }
+
+    /// The list has changed, and with it who else takes calls.
+    pub(super) fn pace_first_calls(&mut self, now: Micros) {
+        let ready = self.ready(now);
+        for place in 0..self.servers.len() {
+            let server = &self.servers[place];
+            let Some(First { since, served, part, span_part }) = server.first else { continue };
+            let Gap { stated, answers, span } = self.gap(now, server, &ready);
+            // No more go at once than by the stated share, however short the wait of the others.
+            let at_once = part * stated as f64 <= 1.0;
+            let wait = if at_once { 0 } else { 1 + (part * answers as f64) as u64 };
+            let server = &mut self.servers[place];
+            server.cold_answers = served.saturating_add(wait);
+            server.cold_until = since.saturating_add((span_part * span as f64) as Micros);
         }
-        let (mut whole, mut ready, mut warm) = (f64::MIN_POSITIVE, f64::MIN_POSITIVE, 0.0);
-        for other in self.servers.iter().filter(|s| s.listed) {
-            let part = other.warmth(now, rules);
-            whole += other.weight;
-            ready += other.weight * part;
-            warm += if part < 1.0 { 0.0 } else { other.weight };
+    }
+
+    /// A call is sent to a server.
+    pub(super) fn pace_next_call(&mut self, now: Micros, place: usize) {
+        self.servers[place].first = None;
+        if self.servers[place].warmth(now, &self.settings.rules) >= 1.0 {
+            return;
         }
-        let usual = (server.weight / ready).min(1.0 / size) * warmth;
-        let alone = 1.0 - warm / whole;
-        let share = usual.max(server.weight * warmth / ready * alone * COLD_MORE).min(1.0);
+        let Gap { answers, span, .. } = self.gap(now, &self.servers[place], &self.ready(now));
+        let server = &mut self.servers[place];
+        server.cold_answers = self.served.saturating_add(answers);
+        server.cold_until = now.saturating_add(span);
+    }
+
+    fn ready(&self, now: Micros) -> Ready {
+        let mut ready = Ready { whole: f64::MIN_POSITIVE, now: f64::MIN_POSITIVE, warm: 0.0 };
+        for server in self.servers.iter().filter(|s| s.listed) {
+            let part = server.warmth(now, &self.settings.rules);
+            ready.whole += server.weight;
+            ready.now += server.weight * part;
+            ready.warm += if part < 1.0 { 0.0 } else { server.weight };
+        }
+        ready
+    }
+
+    fn gap(&self, now: Micros, server: &Server, ready: &Ready) -> Gap {
+        let (warmth, size) = (server.warmth(now, &self.settings.rules), self.servers.len().max(1) as f64);
+        let stated = (server.weight / ready.now).min(1.0 / size) * warmth;
+        let alone = 1.0 - ready.warm / ready.whole;
+        let share = stated.max(server.weight * warmth / ready.now * alone * COLD_MORE).min(1.0);
         let span = self.longest_aim() * f64::from(self.settings.balancers) / warmth;
-        ((1.0 / share) as u64, (span * (1.0 - alone * (1.0 - ready / whole))) as Micros)
+        let span = (span * (1.0 - alone * (1.0 - ready.now / ready.whole))) as Micros;
+        Gap { stated: (1.0 / stated) as u64, answers: (1.0 / share) as u64, span }
     }
 }
--- a/policy/tests/rules.rs
+++ b/policy/tests/rules.rs
@@ -279,6 +279,93 @@
     assert!(sent_in[4] > 200 && sent_in[5] > 200, "{sent_in:?}");
 }
 
+/// Sends to each of `servers` servers within two seconds of 250 calls each, of which the first `cold` have just started, and
+/// how long each call takes there.
+fn sends_beside_cold(balancers: u32, servers: u32, cold: u32) -> Vec<usize> {
+    let mut proxy = Proxy::new(Settings { balancers, ..settings(Repeat::Free) }, servers);
+    for _ in 0..400 {
+        proxy.serve(10 * MS);
+    }
+    let start = proxy.now;
+    proxy.list(ListKind::Delta, (1..=cold).map(|id| Entry { started: start, ..ready(id) }).collect());
+    let (mut out, mut counts) = (Vec::new(), vec![0; servers as usize]);
+    for step in 0..1_000 {
+        proxy.now = start + step * 2 * MS;
+        let mut actions = if step % 2 == 0 { proxy.call().1 } else { proxy.event(Event::Timer) };
+        let due: Vec<(Micros, CallId)> =
+            out.extract_if(.., |at: &mut (Micros, CallId)| at.0 <= proxy.now).collect();
+        for (_, call) in due {
+            actions.extend(proxy.end(call, 0, Outcome::Served, 10 * MS));
+        }
+        for (call, server) in sent(&actions) {
+            counts[server.0 as usize - 1] += 1;
+            out.push((proxy.now + 10 * MS, call));
+        }
+    }
+    counts
+}
+
+/// Where warm servers carry the calls, a cold one has its stated part of one's: a tenth and a little at first here.
+#[test]
+fn a_cold_server_beside_warm_ones_gets_no_more_for_the_sake_of_those_that_are_all_cold() {
+    for (servers, cold) in [(8, 1), (8, 2), (4, 1)] {
+        let counts = sends_beside_cold(4, servers, cold);
+        let part = 500 / servers as usize;
+        for (place, &count) in counts.iter().enumerate() {
+            let is_cold = place < cold as usize;
+            let bounds = if is_cold { 1..=part / 4 } else { part * 9 / 10..=part * 2 };
+            assert!(bounds.contains(&count), "{servers} servers, {cold} cold: {counts:?}");
+        }
+    }
+}
+
+/// The fewer warm servers there are the more cold ones carry, and never one of them far more than another.
+#[test]
+fn cold_servers_carry_more_the_fewer_are_warm() {
+    let mut before = 0.0;
+    for cold in [1, 4, 7, 8] {
+        let counts = sends_beside_cold(4, 8, cold);
+        let of_cold: Vec<usize> = counts[..cold as usize].to_vec();
+        let mean = of_cold.iter().sum::<usize>() as f64 / f64::from(cold);
+        assert!(mean >= before, "{cold} cold: {counts:?}, {before} a cold one before");
+        let (least, most) = (of_cold.iter().min(), of_cold.iter().max());
+        assert!(most <= least.map(|least| least * 2 + 4).as_ref(), "{cold} cold: {counts:?}");
+        before = mean * 0.9;
+    }
+}
+
+/// However many balancers there are, a fleet that is all cold is not flooded by first calls: few go at once, and without an
+/// answer a server is tried after a span that leaves it less than one call in flight from all.
+#[test]
+fn first_calls_to_a_fleet_that_is_all_cold_are_few_however_many_send_them() {
+    for balancers in [4, 64, 1_000] {
+        let mut firsts = 0;
+        for seed in 0..balancers.min(64) {
+            let settings = Settings { balancers, me: seed, ..settings(Repeat::Free) };
+            let mut balancer = Balancer::new(u64::from(seed) + 1, settings);
+            let mut actions = Vec::new();
+            let start = 1_000_000;
+            balancer.handle(start, Event::Start, &mut actions);
+            let entries = (1..=4).map(|id| Entry { started: start, ..ready(id) }).collect();
+            balancer.handle(start, Event::Members { kind: ListKind::Full, entries }, &mut actions);
+            // A call each 10 ms at each for half a second, and no answer at all.
+            for step in 0..50 {
+                let (call, class) = (CallId(step + 1), ClassId(0));
+                let event =
+                    Event::Request { call, class, tenant: None, time_left: 1_200 * MS, resent: false };
+                balancer.handle(start + step * 10 * MS, event, &mut actions);
+                balancer.handle(start + step * 10 * MS, Event::Timer, &mut actions);
+            }
+            firsts += sent(&actions).len();
+        }
+        // Four servers; half a second is as long as the longest aim. One in 40 of the pairs goes at once, by the share of a
+        // tenth that a cold server has of a warm one's quarter.
+        let all = firsts as f64 * f64::from(balancers) / f64::from(balancers.min(64));
+        let at_once = f64::from(balancers) * 4.0 / 40.0;
+        assert!(all <= 4.0 * 4.0 + 1.5 * at_once, "{balancers} balancers: {all} calls within an aim");
+    }
+}
+
 // Failures that were met.
 
 #[test]
