--- a/measure/src/main.rs
+++ b/measure/src/main.rs
@@ -4,6 +4,7 @@
 
 mod cores;
 mod engine;
+mod fleet;
 mod instructions;
 mod keys;
 #[cfg(feature = "lab")]
@@ -22,6 +23,7 @@
   cores      several engines beside one, as many daemons, and the least proxy: requests a second, connections, room that
              follows the load, keys that cross, a storm of repeats
   engine     instructions a request without a station on its way, by those before there were stations
+  fleet      what a decision costs at 10, 60 and 1,000 hosts where a hundred proxies share them
   keys       the store of idempotency keys: look-up time, bytes a key, CPU a request with it and without; a storm of
              repeats with lingering and without, and how long those that join wait
   lab        (built with --features lab) how fast the lab plays, memory a proxy, one course a seed, the storm of 20,000
@@ -40,6 +42,7 @@
         },
         ["cores-pinned"] | ["cores-pinned", "--full"] => cores::measure(full),
         ["engine"] | ["engine", "--full"] => engine::measure(full),
+        ["fleet"] | ["fleet", "--full"] => fleet::measure(full),
         ["keys"] | ["keys", "--full"] => keys::measure(full),
         #[cfg(feature = "lab")]
         ["lab"] | ["lab", "--full"] => lab::measure(full),
--- a/policy/src/balance.rs
+++ b/policy/src/balance.rs
@@ -11,6 +11,7 @@
 use rand_pcg::Pcg32;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
+mod ask;
 mod cold;
 mod shared;
 
@@ -22,8 +23,16 @@
 const STRAIN_TIMES: f64 = 3.0;
 /// ... or beyond this share of its aim, whichever is shorter.
 const STRAIN_AIM: f64 = 0.33;
+/// The former where budgets are shared: a hundred that each wait for clear signs find a server jammed.
+const STRAIN_TIMES_SHARED: f64 = 2.0;
+/// Doublings of the rest, in rounds of own calls, of a server that answers late; and most more by time-outs.
+const REST_ROUNDS: u32 = 2;
+const LATE_MOST: u32 = 4;
 /// Reported share of busy cores that is as much as an answer at that limit: above it waiting grows steeply.
 const BUSY_FULL: f64 = 0.9;
+/// Most that one answer counts for in a budget that all servers share: more than four in five must be late
+/// before the mean passes 1. A few bad servers are left by the pick, not answered for by all the others.
+const STRAIN_SHARED: f64 = 1.2;
 /// Strain beyond which a budget is cut below its floor: answers take more than half their aim.
 const STRAIN_DEEP: f64 = 1.5;
 /// Time over which a class's unloaded answer time may drift up to its present mean.
@@ -42,11 +51,14 @@
 const RETRY_SAVED: f64 = 20.0;
 /// Held calls looked at beyond the first, at an event: it bounds the CPU that a long hold costs.
 const LOOK_PAST: usize = 16;
-/// Memory of how busy a server was kept, in sends of this balancer for each server.
-const BUSY_ROUNDS: f64 = 4.0;
-/// Servers that a shared budget's calls go to at the least, and the mean in flight at each beyond which more.
+/// Memory of what a server costs, where budgets are shared and each balancer meets it seldom.
+const COST_MEMORY: f64 = 4e6;
+/// How much less often the dearer of two is chosen: by this power of what a call costs there.
+const COST_POWER: i32 = 6;
+/// Servers that a shared budget's calls go to at the least, and the mean in flight at each beyond which more:
+/// about one connection that is used half the time. Else each opens one nearly everywhere, to use it seldom.
 const WINDOW_LEAST: usize = 8;
-const WINDOW_BUSY: f64 = 0.05;
+const WINDOW_BUSY: f64 = 0.5;
 /// Doublings of a zone's backoff up to a server's first: one failed connection says little of a zone.
 const ZONE_DOUBLINGS: u32 = 3;
 
@@ -63,9 +75,8 @@
     in_flight: u32,
     budget: Budget,
     weight: f64,
-    /// Time that this balancer's calls lately spent there: it breaks the pick's ties.
-    busy: f64,
-    busy_at: u64,
+    /// Answer times over the usual ones of their classes.
+    slow: f64,
     /// Answer times over what its classes allow; 1 is the limit.
     strain: f64,
     answers_since: u32,
@@ -80,6 +91,8 @@
     /// It is sent nothing before this time and that many answers of this balancer: it has refused or failed.
     not_before: Micros,
     rest: u64,
+    /// Time-outs here, less the calls served since: so often is its rest doubled.
+    late: u32,
     /// While cold it is sent nothing before that many answers of this balancer, or before this time.
     cold_answers: u64,
     cold_until: Micros,
@@ -95,7 +108,7 @@
     fn new(entry: &Entry, settings: &Settings) -> Self {
         let &Entry { server: id, zone, cell, started, .. } = entry;
         let (budget, room) = (Budget::new(settings.balancers), settings.shared.then_some((0, false)));
-        Server { id, zone, cell, started, weight: 1.0, budget, room, ..Server::default() }
+        Server { id, zone, cell, started, weight: 1.0, slow: 1.0, budget, room, ..Server::default() }
     }
 
     /// How many calls its budget allows now, as a mean.
@@ -107,14 +120,12 @@
         self.room.is_none_or(|(_, trial)| trial)
     }
 
-    /// With few calls there are none in flight at most servers: recent past and listed size tell them apart.
-    fn recent_load(&self, sends: f64, per: f64) -> f64 {
-        self.busy * (-(sends - self.busy_at as f64) / (per * BUSY_ROUNDS)).exp() / self.weight
-    }
-
-    fn kept_busy(&mut self, time: f64, sends: u64, per: f64) {
-        self.busy = self.recent_load(sends as f64, per) * self.weight + time;
-        self.busy_at = sends;
+    /// What a call may cost here, in usual answers: what answers took lately and what the last report waits,
+    /// for each call of this balancer that would be there.
+    fn cost(&self, now: Micros) -> f64 {
+        let left = |at: Micros| (-(now.saturating_sub(at) as f64) / COST_MEMORY).exp();
+        let known = 1.0 + (self.slow - 1.0) * left(self.heard) + self.crowding * left(self.reported);
+        known * f64::from(1 + self.in_flight)
     }
 
     /// Share of its capacity that a server has at the least, by the rules' cold share and time.
@@ -133,8 +144,13 @@
 
     fn open(&self, now: Micros, served: u64, rules: &Rules) -> bool {
         let paced = served >= self.cold_answers || now >= self.cold_until || self.warmth(now, rules) >= 1.0;
-        let rested = served >= self.rest || now.saturating_sub(self.heard) as f64 >= 3.0 * RATE_MEMORY;
-        self.listed && now >= self.not_before && paced && rested
+        paced && self.rested(now, served)
+    }
+
+    fn rested(&self, now: Micros, served: u64) -> bool {
+        let span = 3.0 * RATE_MEMORY * f64::from(1 << self.late);
+        let rested = served >= self.rest || now.saturating_sub(self.heard) as f64 >= span;
+        self.listed && now >= self.not_before && rested
     }
 
     /// May a call go beyond its budget, to learn whether it takes more?
@@ -217,7 +233,6 @@
     retries: f64,
     listed: usize,
     aside: usize,
-    sends: u64,
     served: u64,
     timer_at: Micros,
     ask_at: Micros,
@@ -242,7 +257,6 @@
             retries: RETRY_SAVED,
             listed: 0,
             aside: 0,
-            sends: 0,
             served: 0,
             timer_at: Micros::MAX,
             ask_at: Micros::MAX,
@@ -257,7 +271,7 @@
         // Room that has come is used before a call that waited for it is given up.
         let room = matches!(event, Event::Rooms { .. });
         match event {
-            Event::Start if self.settings.ask => actions.push(Action::Subscribe),
+            Event::Start if self.settings.ask => self.ask_first(now, actions),
             Event::Members { kind, entries } => self.members(now, kind, &entries),
             Event::Request { call, class, tenant, time_left, .. } if !self.calls.contains_key(&call) => {
                 self.request(now, call, class, time_left);
@@ -326,17 +340,13 @@
 
     fn members(&mut self, now: Micros, kind: ListKind, entries: &[Entry]) {
         if kind == ListKind::Failed {
-            // Jitter keeps balancers that lost the list together from asking together again.
-            let wait = (self.settings.rules.ask_every / 32) << self.ask_failures.min(3);
-            self.ask_failures += 1;
-            if self.settings.ask {
-                self.ask_at = now + wait / 2 + self.below(wait);
-            }
+            self.ask_again(now);
             return;
         }
-        self.ask_failures *= u32::from(kind == ListKind::Cached);
         // News prove that asking works again, whoever asked.
-        self.ask_at = Micros::MAX;
+        if kind != ListKind::Cached {
+            (self.ask_failures, self.ask_at) = (0, Micros::MAX);
+        }
         self.servers.iter_mut().for_each(|s| s.listed &= kind == ListKind::Delta);
         for entry in entries {
             let found = self.servers.binary_search_by_key(&entry.server, |s| s.id);
@@ -344,7 +354,6 @@
             // A restart under the same number is a new, cold process: nothing learned of the old one holds.
             if found.is_err() || entry.started > self.servers[place].started {
                 let mut server = Server::new(entry, &self.settings);
-                server.kept_busy(self.longest_usual(), self.sends, 1.0);
                 server.first = Some(self.first(now));
                 self.servers.splice(place..place + usize::from(found.is_ok()), [server]);
             }
@@ -354,6 +363,7 @@
             server.weight = if entry.weight.is_finite() && entry.weight > 0.0 { entry.weight } else { 1.0 };
         }
         self.servers.retain(|s| s.listed || s.in_flight > 0);
+        self.cut_off.retain(|zone, _| self.servers.iter().any(|s| s.zone == *zone));
         self.pace_first_calls(now);
         self.count();
     }
@@ -487,14 +497,21 @@
         let aim = self.settings.classes.get(class_id).map_or(f64::MAX, |c| c.aim as f64);
         let base = pace.as_ref().map_or(f64::MAX, |p| p.base);
         // A shared budget cannot spare the one server that is slow: it heeds what the aim leaves for waiting.
-        let pool_limit = (base * STRAIN_TIMES).min(base + (aim - base) * STRAIN_AIM).max(base);
+        let pool_limit = (base * STRAIN_TIMES_SHARED).min(base + (aim - base) * STRAIN_AIM).max(base);
         let limit = (base * STRAIN_TIMES).min(aim * STRAIN_AIM).max(base);
         if let Some(pool) = &mut self.pool {
             pool.charge(now, elapsed as f64 - usual);
             pool.budget.trial_out &= trial != Trial::Pool;
-            if !outcome.says_nothing() && outcome != Outcome::NoConnection {
+            // Time-outs are the pick's: few hosts, or one class of calls, must not shut out all others.
+            let tells = !matches!(outcome, Outcome::NoConnection | Outcome::TimedOut);
+            if tells && !outcome.says_nothing() {
                 let full = if outcome == Outcome::TurnedAway { 1.0 / CUT_MOST } else { 0.0 };
-                pool.learn(now, (elapsed as f64 / pool_limit).min(4.0).max(full), elapsed as f64, longest);
+                pool.learn(
+                    now,
+                    (elapsed as f64 / pool_limit).min(STRAIN_SHARED).max(full),
+                    elapsed as f64,
+                    longest,
+                );
             }
             match outcome {
                 _ if trial != Trial::Pool => {}
@@ -503,12 +520,14 @@
             }
         }
         // A zone that is cut off fails server by server: after a few in a row it is passed over as a whole.
+        // On connections that were there before, packets that go nowhere show by time-outs alone.
         let lost = matches!(outcome, Outcome::NoConnection | Outcome::Reset);
+        let late = outcome == Outcome::TimedOut;
         let cut = self.cut_off.entry(zone).or_default();
-        if lost && self.pool.is_some() {
+        if (lost || late) && self.pool.is_some() {
             let doublings = cut.0.min(BACKOFF_DOUBLINGS + ZONE_DOUBLINGS);
             *cut = (cut.0.saturating_add(1), now + ((first << doublings) >> ZONE_DOUBLINGS));
-        } else if !outcome.says_nothing() && outcome != Outcome::TimedOut {
+        } else if !outcome.says_nothing() {
             *cut = (0, 0);
         }
         let Ok(place) = self.servers.binary_search_by_key(&id, |s| s.id) else { return };
@@ -520,7 +539,10 @@
         // What was not served counts as a whole aim: quick refusals and errors must not make it look idle.
         let fair = matches!(outcome, Outcome::Served | Outcome::Stale | Outcome::Unusable);
         let least = if fair { 0.0 } else { longest_aim };
-        server.kept_busy(least.max(elapsed as f64), self.sends, per);
+        let past = (-(now.saturating_sub(server.heard) as f64) / COST_MEMORY).exp();
+        server.slow = 1.0 + (server.slow - 1.0) * past;
+        server.slow +=
+            ((least.max(elapsed as f64) / usual).clamp(0.001, 8.0) - server.slow) * 2.0 * SMOOTHING;
         let strain = (elapsed as f64 / limit).min(4.0);
         let failed = match outcome {
             Outcome::Served => false,
@@ -592,7 +614,12 @@
             actions.push(Action::Log { text: format!("server {} set aside", server.id.0) });
             actions.extend(server.room.map(|_| Action::Tell { server: id, news: News::SetAside }));
         }
+        let served = u32::from(outcome == Outcome::Served);
+        server.late = (server.late + u32::from(late)).saturating_sub(served).min(LATE_MOST);
         // Many balancers that each try it now and then are no rest: it is tried by a part of the usual calls.
+        if self.pool.is_some() && late {
+            server.rest = self.served + ((per as u64) << (REST_ROUNDS + server.late));
+        }
         if self.pool.is_some() && (outcome == Outcome::TurnedAway || server.budget.steps == 0) {
             server.rest = self.served + ((per as u64) << server.budget.doublings);
         }
@@ -658,6 +685,7 @@
 
     /// Send, hold or refuse?
     fn route(&mut self, now: Micros, id: CallId) -> Route {
+        let draw = self.cold_draw(now);
         let call = &self.calls[&id];
         let (rules, tick) = (&self.settings.rules, self.settings.tick);
         let longest = self.longest_usual();
@@ -667,22 +695,33 @@
         if full_pool.is_some_and(|p| p.strain > 1.0 || !p.budget.trial_ready(now)) {
             return Route::Hold;
         }
-        let near = |s: &Server| self.cut_off.get(&s.zone).is_none_or(|cut| now >= cut.1);
-        let allowed = |s: &Server| s.usable(now, self.served, rules) && near(s) && call.may_go(now, s, tick);
+        // Where all are of one zone, or of none that is named, there is nothing to go to instead.
+        let one = self.cut_off.len() < 2;
+        let near = |s: &Server| one || self.cut_off.get(&s.zone).is_none_or(|cut| now >= cut.1);
+        let open = |i: usize, s: &Server| match draw {
+            Some(draw) => s.rested(now, self.served) && cold::drawn(draw, i) < s.warmth(now, rules),
+            None => s.open(now, self.served, rules),
+        };
+        let allowed =
+            |i: usize, s: &Server| s.budget.steps > 0 && open(i, s) && near(s) && call.may_go(now, s, tick);
         // Windows begin at even distances on the ring of servers: each server is in as many as any other.
         let len = self.servers.len();
         let start = self.settings.me as usize * len / self.settings.balancers.max(1) as usize;
-        let ring = || (start..start + len).map(|i| i % len).filter(|&i| allowed(&self.servers[i]));
+        let ring = || (start..start + len).map(|i| i % len).filter(|&i| allowed(i, &self.servers[i]));
         let fresh = ring().any(|i| call.untried(self.servers[i].id));
         let untried = ring().filter(|&i| !fresh || call.untried(self.servers[i].id));
-        let up: Vec<usize> = untried.take(self.window()).collect();
+        let up: Vec<usize> = untried.clone().take(self.window()).collect();
         let of =
             |room: &dyn Fn(&Server) -> bool| up.iter().copied().filter(|&i| room(&self.servers[i])).collect();
-        let (room, trials): (Vec<_>, Vec<_>) = (of(&|s| !s.full(now, rules)), of(&ready));
+        let (mut room, trials): (Vec<_>, Vec<_>) = (of(&|s| !s.full(now, rules)), of(&ready));
+        // The window follows what was in flight: more calls than that at once go on along the ring.
+        if room.is_empty() && self.pool.is_some() && !pool_full {
+            room.extend(untried.skip(up.len()).find(|&i| !self.servers[i].full(now, rules)));
+        }
         let trial = if pool_full { Trial::Pool } else { Trial::No };
-        match self.two_choices(&up).filter(|server| room.contains(server)) {
+        match self.two_choices(now, &up).filter(|server| room.contains(server)) {
             Some(server) => Route::Send { server, trial },
-            None => match (self.two_choices(&room), self.two_choices(&trials)) {
+            None => match (self.two_choices(now, &room), self.two_choices(now, &trials)) {
                 (Some(server), _) => Route::Send { server, trial },
                 (None, Some(_)) if pool_full => Route::Hold,
                 (None, Some(server)) => Route::Send { server, trial: Trial::Server },
@@ -705,26 +744,35 @@
         (busy as usize).max(WINDOW_LEAST).min(self.servers.len())
     }
 
-    /// The less loaded of two random ones by own calls in flight; the recent past breaks ties.
-    fn two_choices(&mut self, among: &[usize]) -> Option<usize> {
+    /// The less loaded of two random ones by own calls in flight, strain breaking ties; where budgets are
+    /// shared, the one that costs less, mostly.
+    fn two_choices(&mut self, now: Micros, among: &[usize]) -> Option<usize> {
         let len = among.len() as u64;
         let first = self.below(len);
         let a = *among.get(first as usize)?;
         let b = among[((first + 1 + self.below(len - 1)) % len) as usize];
-        let (sends, per) = (self.sends as f64, self.window() as f64);
-        let tie = |s: &Server| if self.pool.is_some() { s.recent_load(sends, per) } else { s.strain };
-        let load = |i: usize| (self.servers[i].in_flight, tie(&self.servers[i]));
-        Some(if load(b) < load(a) { b } else { a })
+        let (first, second) = (&self.servers[a], &self.servers[b]);
+        if self.pool.is_none() {
+            let load = |s: &Server| (s.in_flight, s.strain);
+            return Some(if load(second) < load(first) { b } else { a });
+        }
+        // Where many know the same, all would go to the same: the dearer one is chosen now and then.
+        let worth = |s: &Server| s.weight / s.cost(now).powi(COST_POWER);
+        let (first, second) = (worth(first), worth(second));
+        Some(if self.chance() * (first + second) < second { b } else { a })
     }
 
     fn send(&mut self, now: Micros, id: CallId, place: usize, trial: Trial, actions: &mut Actions) {
         self.pace_next_call(now, place);
         let server = &mut self.servers[place];
-        self.sends += 1;
         server.in_flight += 1;
         server.budget.trial_out |= trial == Trial::Server;
         let Some(call) = self.calls.get_mut(&id) else { return };
         let &mut Server { id: server, started, zone, cell, .. } = server;
+        // Into a zone that was cut off one call goes at a time: a time-out is learnt of an aim later.
+        if let Some(cut) = self.cut_off.get_mut(&zone).filter(|cut| cut.0 >= ZONE_DOUBLINGS) {
+            cut.1 = cut.1.max(now.saturating_add(call.class.aim));
+        }
         let (class_id, sent, outcome) = (call.class_id, now, None);
         call.attempts.push(Attempt { server, started, zone, cell, class_id, sent, trial, outcome });
         // An answer after the aim is worth little: its server is better used by others.
@@ -852,6 +900,11 @@
         self.paces.iter().map(|p| p.mean).fold(1.0, f64::max)
     }
 
+    /// A draw from 0 to 1.
+    fn chance(&mut self) -> f64 {
+        f64::from(self.random.next_u32()) / 4_294_967_296.0
+    }
+
     fn below(&mut self, bound: u64) -> u64 {
         (u64::from(self.random.next_u32()) * bound.min(u64::from(u32::MAX))) >> 32
     }
--- /dev/null
+++ b/policy/src/balance/ask.rs
@@ -0,0 +1,43 @@
+//! When the list of servers is asked for, where it is not pushed.
+//!
+//! Discovery answers all balancers in turn, and what has waited too long is lost. A hundred that lose their
+//! watches at one moment and ask again within one short pause keep each other from being answered for good.
+
+use super::{Actions, Balancer};
+use crate::api::{Action, Micros};
+
+/// Balancers that may ask within the first pause: more take so many times as long.
+const ASK_TOGETHER: u32 = 16;
+/// The first pause as a part of the time for which a list holds without asking.
+const FIRST_PART: u64 = 32;
+/// Doublings of the pause, and its most in those times: half of what is allowed after a failed call.
+const ASK_DOUBLINGS: u32 = 3;
+const ASK_MOST: u64 = 2;
+
+impl Balancer {
+    /// At the start: a whole fleet may start in one moment, and each may have a list from before.
+    pub(super) fn ask_first(&mut self, now: Micros, actions: &mut Actions) {
+        if self.settings.balancers < 2 * ASK_TOGETHER {
+            actions.push(Action::Subscribe);
+        } else {
+            self.ask_at = now + self.below(self.ask_pause());
+        }
+    }
+
+    /// After a call that has failed, or a watch that has ended.
+    pub(super) fn ask_again(&mut self, now: Micros) {
+        let pause = self.ask_pause();
+        self.ask_failures += 1;
+        if self.settings.ask {
+            self.ask_at = now + pause / 2 + self.below(pause);
+        }
+    }
+
+    /// Over how long balancers that ask at one moment are spread.
+    fn ask_pause(&self) -> Micros {
+        let every = self.settings.rules.ask_every;
+        let all = u64::from(self.settings.balancers / ASK_TOGETHER).max(1);
+        let doubled = all << self.ask_failures.min(ASK_DOUBLINGS);
+        (every / FIRST_PART).saturating_mul(doubled).min(every.saturating_mul(ASK_MOST))
+    }
+}
--- a/policy/src/balance/cold.rs
+++ b/policy/src/balance/cold.rs
@@ -11,8 +11,9 @@
 /// How much more than its part a cold server is sent where none is warm: calls become more by a
 /// fifth a round.
 const COLD_MORE: f64 = 1.2;
-/// Parts of a whole that are drawn.
-const PARTS: u64 = 1 << 20;
+/// Share of the list's whole size that must be warm for cold servers to be drawn by their stated share alone:
+/// then even twice its part, the most that a pick of two gives, is under the multiple that a cold one bears.
+const WARM_LEAST: f64 = 1.0 / 3.0;
 
 /// A server's wait for its first call. Balancers hear of a cold server together: each waits a random part.
 /// What it is a part of may change until then, as the others start or warm up.
@@ -38,11 +39,23 @@
     span: Micros,
 }
 
+/// Where in 0 to 1 a server falls in a decision's draw: evenly spread over servers that follow each other.
+pub(super) fn drawn(draw: f64, place: usize) -> f64 {
+    (draw + place as f64 * 0.618_033_988_749_895).fract()
+}
+
 impl Balancer {
+    /// Where a shared budget stands in for the servers' own, no balancer has answers enough to pace a cold
+    /// server by: each call draws those that it may go to, by what they do of their whole by now.
+    pub(super) fn cold_draw(&mut self, now: Micros) -> Option<f64> {
+        let ready = self.ready(now);
+        let drawn = self.pool.is_some() && ready.warm >= ready.whole * WARM_LEAST;
+        drawn.then(|| self.chance())
+    }
+
     /// Draws a new server's part.
     pub(super) fn first(&mut self, now: Micros) -> First {
-        let mut part = || self.below(PARTS) as f64 / PARTS as f64;
-        let (part, span_part) = (part(), part());
+        let (part, span_part) = (self.chance(), self.chance());
         First { since: now, served: self.served, part, span_part }
     }
 
--- /dev/null
+++ b/policy/tests/fleet.rs
@@ -0,0 +1,166 @@
+//! What a hundred balancers do together, each harmless alone.
+
+mod common;
+use common::*;
+use nettleworks_policy::*;
+
+/// Many balancers before one discovery that takes their asks in turn, so many a second, and lets one fail that has
+/// waited for two seconds: its time was taken all the same.
+struct Discovery {
+    proxies: Vec<Proxy>,
+    /// Balancers in line, and since when they wait.
+    line: std::collections::VecDeque<(usize, Micros)>,
+    each: Micros,
+    free_at: Micros,
+    /// When each ask came.
+    asks: Vec<Micros>,
+    listed: Vec<bool>,
+}
+
+const WAIT_MOST: Micros = 2_000 * MS;
+
+impl Discovery {
+    fn new(balancers: u32, each: Micros) -> Discovery {
+        let settings = |me| Settings { balancers, me, ask: true, ..settings(Repeat::Free) };
+        let proxies = (0..balancers).map(|me| Proxy::seeded(u64::from(me), settings(me))).collect::<Vec<_>>();
+        let listed = vec![false; proxies.len()];
+        Discovery { proxies, line: Default::default(), each, free_at: 0, asks: Vec::new(), listed }
+    }
+
+    fn heed(&mut self, now: Micros, proxy: usize, actions: &[Action]) {
+        if actions.contains(&Action::Subscribe) {
+            self.asks.push(now);
+            self.line.push_back((proxy, now));
+        }
+    }
+
+    /// Each watch has broken.
+    fn lost(&mut self, now: Micros) {
+        for proxy in 0..self.proxies.len() {
+            self.proxies[proxy].now = now;
+            let actions = self.proxies[proxy].list(ListKind::Failed, vec![]);
+            self.heed(now, proxy, &actions);
+        }
+    }
+
+    /// Goes on until then, in steps of 10 ms.
+    fn until(&mut self, from: Micros, to: Micros) {
+        let mut now = from;
+        while now < to {
+            now += 10 * MS;
+            for proxy in 0..self.proxies.len() {
+                self.proxies[proxy].now = now;
+                let actions = self.proxies[proxy].event(Event::Timer);
+                self.heed(now, proxy, &actions);
+            }
+            while self.free_at <= now {
+                let Some((proxy, since)) = self.line.pop_front() else { break };
+                self.free_at = self.free_at.max(now - 10 * MS) + self.each;
+                let late = now - since > WAIT_MOST;
+                let kind = if late { ListKind::Failed } else { ListKind::Full };
+                let actions = self.proxies[proxy].list(kind, if late { vec![] } else { vec![ready(1)] });
+                self.listed[proxy] |= !late;
+                self.heed(now, proxy, &actions);
+            }
+        }
+    }
+
+    /// Most asks within a tenth of a second, from then on.
+    fn most_together(&self, from: Micros) -> usize {
+        let within = |at: Micros| self.asks.iter().filter(|&&ask| ask >= at && ask < at + 100 * MS).count();
+        self.asks.iter().filter(|&&at| at >= from).map(|&at| within(at)).max().unwrap_or(0)
+    }
+
+    fn without(&self) -> usize {
+        self.listed.iter().filter(|&&listed| !listed).count()
+    }
+}
+
+#[test]
+fn a_hundred_that_lose_the_list_at_one_moment_do_not_keep_it_from_each_other() {
+    let begin = 1_000_000;
+    let mut discovery = Discovery::new(100, 60 * MS);
+    discovery.until(begin, begin + 10_000 * MS);
+    discovery.asks.clear();
+    discovery.listed.fill(false);
+    let lost = begin + 10_000 * MS;
+    discovery.lost(lost);
+    discovery.until(lost, lost + 20_000 * MS);
+    let most = discovery.most_together(lost);
+    assert!(most <= 20, "{most} asks within a tenth of a second, where six can be answered in three tenths");
+    assert_eq!(discovery.without(), 0, "seventeen asks a second: six seconds would do for a hundred");
+}
+
+#[test]
+fn a_hundred_that_start_at_one_moment_ask_one_after_the_other() {
+    let begin = 1_000_000;
+    let mut discovery = Discovery::new(100, 60 * MS);
+    discovery.until(begin, begin + 20_000 * MS);
+    assert!(discovery.most_together(begin) <= 20, "{}", discovery.most_together(begin));
+    assert_eq!(discovery.without(), 0);
+}
+
+#[test]
+fn a_few_ask_at_once_at_the_start_and_soon_again() {
+    let begin = 1_000_000;
+    let mut discovery = Discovery::new(5, 60 * MS);
+    assert!(discovery.proxies.iter().all(|p| p.actions.contains(&Action::Subscribe)), "at the start");
+    discovery.lost(begin);
+    discovery.until(begin, begin + 1_000 * MS);
+    assert_eq!(discovery.without(), 0, "a second is enough for five");
+}
+
+#[test]
+fn a_list_from_before_does_not_keep_a_balancer_from_asking() {
+    let mut proxy = Proxy::seeded(3, Settings { balancers: 100, ask: true, ..settings(Repeat::Free) });
+    proxy.list(ListKind::Cached, vec![ready(1)]);
+    let asked = (0..300).any(|_| proxy.wait(10 * MS).contains(&Action::Subscribe));
+    assert!(asked, "what it had before it started may be old");
+}
+
+/// Calls of a busy balancer of a hundred before sixty servers, one each 20 ms. From the two hundredth on each so many-th
+/// is one whose work never ends, at whichever server; the others take 78 ms instead of 40. How many of the next thousand are refused?
+fn refused_beside(hopeless: usize) -> usize {
+    let limits = Limits { max_attempts: 1, ..Settings::default().limits };
+    let mut proxy = Proxy::new(Settings { balancers: 100, limits, ..settings(Repeat::SingleShot) }, 60);
+    let (mut out, mut refusals) = (Vec::<(Micros, CallId, Outcome)>::new(), 0);
+    for step in 0..1_200 {
+        proxy.now += 20 * MS;
+        let (now, mut actions) = (proxy.now, Vec::new());
+        for (_, call, outcome) in out.extract_if(.., |o| o.0 <= now).collect::<Vec<_>>() {
+            let elapsed = if outcome == Outcome::TimedOut {
+                500 * MS
+            } else if call.0 > 200 {
+                70 * MS
+            } else {
+                40 * MS
+            };
+            actions.extend(proxy.end(call, 0, outcome, elapsed));
+        }
+        actions.extend(proxy.call().1);
+        refusals += actions.iter().filter(|a| step >= 200 && matches!(a, Action::Refuse { .. })).count();
+        for (call, _) in sent(&actions) {
+            let lost = step >= 200 && call.0.is_multiple_of(hopeless as u64);
+            let usual = if step >= 200 { 78 } else { 40 };
+            let (took, outcome) = if lost { (500, Outcome::TimedOut) } else { (usual, Outcome::Served) };
+            out.push((now + took * MS, call, outcome));
+        }
+    }
+    refusals
+}
+
+#[test]
+fn calls_whose_work_never_ends_do_not_shut_out_all_others() {
+    assert!(refused_beside(usize::MAX) <= 10, "{}", refused_beside(usize::MAX));
+    let refusals = refused_beside(4);
+    assert!(refusals <= 50, "each fourth call times out, sixty servers answer the rest at once: {refusals}");
+}
+
+#[test]
+fn a_burst_of_a_balancer_with_few_calls_goes_beyond_its_window() {
+    let mut proxy = Proxy::new(Settings { balancers: 20, ..settings(Repeat::SingleShot) }, 60);
+    // In one usual time, a quarter of the aim as nothing is known, of which none is answered.
+    (0..18).for_each(|_| drop((proxy.wait(7 * MS), proxy.call())));
+    let met: std::collections::BTreeSet<_> = sent(&proxy.actions).into_iter().map(|s| s.1).collect();
+    assert!(met.len() >= 14, "sixty servers are idle, eight are its window: {}", met.len());
+}
--- a/policy/tests/mechanism.rs
+++ b/policy/tests/mechanism.rs
@@ -3,7 +3,7 @@
 mod common;
 use common::*;
 use nettleworks_policy::*;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Fills a single server's first budget (1 step x 1 call with seven balancers) and leaves the call out.
 fn full_server(repeat: Repeat) -> (Proxy, CallId) {
@@ -283,6 +283,34 @@
     assert!(windows.values().all(|n| *n == 16), "100 windows of 8 over 50 servers: {windows:?}");
 }
 
+/// One balancer of a hundred before sixty servers sends a call each `gap`, served after 250 ms: how many servers does it
+/// meet in the second half of half a minute?
+fn met_at(gap: Micros) -> usize {
+    let mut proxy = Proxy::new(Settings { balancers: 100, ..settings(Repeat::SingleShot) }, 60);
+    let (mut out, mut met) = (Vec::<(Micros, CallId)>::new(), BTreeSet::new());
+    for _ in 0..30_000 * MS / gap {
+        proxy.now += gap;
+        let (now, mut actions) = (proxy.now, Vec::new());
+        for (_, call) in out.extract_if(.., |o| o.0 <= now).collect::<Vec<_>>() {
+            actions.extend(proxy.end(call, 0, Outcome::Served, 250 * MS));
+        }
+        actions.extend(proxy.call().1);
+        for (call, server) in sent(&actions) {
+            out.push((now + 250 * MS, call));
+            met.extend((now > 16_000 * MS).then_some(server));
+        }
+    }
+    met.len()
+}
+
+#[test]
+fn a_balancer_with_few_calls_in_flight_uses_few_connections_often_instead_of_many_seldom() {
+    let few = met_at(125 * MS);
+    assert!(few <= 10, "two calls in flight, as most of a hundred have: {few} servers of sixty");
+    let many = met_at(10 * MS);
+    assert!(many >= 45, "a busy one spreads its calls over nearly all: {many}");
+}
+
 #[test]
 fn a_window_moves_past_servers_that_are_down() {
     let mut proxy = Proxy::new(Settings { balancers: 100, ..settings(Repeat::Free) }, 50);
