Wait for what is told, not for luck, in three tests of lingering calls

Causes: a request's key may belong to another engine than its client's connection, which hears of the close by a note a moment later (crossing.rs, Note::Gone); readable() may say so of a stream on which nothing has come; free requests that went to the draining host before an engine had heard of the drain were counted as the charge's. Ruled out: a lost wake-up (the engine's part ends with the client, by the log of Client::go), the order at the owner (notes are read ahead of requests, in seat.rs). Change: go() makes two rounds with the same key and another body, which the owner answers after the note and which change nothing; peek() for readable(); the early free requests are counted and taken off.

--- a/proxy/tests/suite/lingering.rs
+++ b/proxy/tests/suite/lingering.rs
@@ -19,13 +19,29 @@
     ask(class, key, Duration::from_secs(8))
 }
 
+/// A client goes, and whichever engine its key belongs to has heard of it. That engine reads who has gone ahead of what
+/// is asked, but the two may come between its looks at the one and the other: the second round comes after both.
+async fn go(proxy: &Proxy, client: Client, class: &str, key: &str) {
+    client.go().await;
+    for _ in 0..2 {
+        // The key is taken by another request, or it is free and this one's time runs out: neither changes it.
+        let other = ask(class, key, Duration::from_millis(50)).replace("\r\n\r\npays", "\r\n\r\nnone");
+        assert_ne!(proxy.client().await.ask(&other).await.status(), 200, "it gets nobody's answer");
+    }
+}
+
 /// A client asks, the host has it, and the client goes.
-async fn ask_and_go(proxy: &Proxy, host: &Host, text: &str) {
+async fn ask_and_go(proxy: &Proxy, host: &Host, class: &str, key: &str) {
+    ask_for_and_go(proxy, host, class, key, Duration::from_secs(8)).await;
+}
+
+/// The same by a client that would have waited so long.
+async fn ask_for_and_go(proxy: &Proxy, host: &Host, class: &str, key: &str, wait: Duration) {
     let before = host.count();
     let mut client = proxy.client().await;
-    client.send(text).await;
+    client.send(&ask(class, key, wait)).await;
     eventually("the host has it", || host.count() > before).await;
-    client.go().await;
+    go(proxy, client, class, key).await;
 }
 
 /// 502 with problem details that say what the key is at.
@@ -51,7 +67,7 @@
             let host = Host::start([Act::Stall, Act::Stall, ok("never asked")]).await;
             let proxy = Proxy::with_keys(from_ref(&host), KEYS, |_| ()).await;
             // It comes again while the call runs.
-            ask_and_go(&proxy, &host, &long(class, "k1")).await;
+            ask_and_go(&proxy, &host, class, "k1").await;
             let mut again = proxy.client().await;
             again.send(&long(class, "k1")).await;
             proxy.has_noticed().await;
@@ -59,7 +75,7 @@
             let answer = again.message().await.expect("an answer");
             assert!(is_replayed(&answer) && answer.body == b"released", "{class}: {answer:?}");
             // It comes again when the call has been answered.
-            ask_and_go(&proxy, &host, &long(class, "k2")).await;
+            ask_and_go(&proxy, &host, class, "k2").await;
             host.release.notify_one();
             let answer = proxy.client().await.ask(&long(class, "k2")).await;
             assert!(is_replayed(&answer) && answer.body == b"released", "{class}: {answer:?}");
@@ -75,7 +91,7 @@
         let host = Host::start([Act::Stall]).await;
         let off = r#"{"classes": {"unsafe": {"linger_ms": 0}}}"#;
         let proxy = Proxy::with_keys(from_ref(&host), off, |_| ()).await;
-        ask_and_go(&proxy, &host, &long("unsafe", "k")).await;
+        ask_and_go(&proxy, &host, "unsafe", "k").await;
         eventually("it is called off", || host.open.get() == 0).await;
         is(&proxy.client().await.ask(&long("unsafe", "k")).await, "key-unsure", "unsure");
         assert_eq!(host.count(), 1);
@@ -93,7 +109,7 @@
         eventually("it is watched", || !discovery.asked.borrow().is_empty()).await;
         let mut client = proxy.client().await;
         client.send(&long("unsafe", "k")).await;
-        client.go().await;
+        go(&proxy, client, "unsafe", "k").await;
         let line = list(50, true, &[entry("s-0", host.address, "Ready")]);
         discovery.push(&chunk(&line)).await;
         let answer = proxy.client().await.ask(&long("unsafe", "k")).await;
@@ -110,7 +126,7 @@
         for class in BOTH {
             let host = Host::start([Act::Stall]).await;
             let proxy = Proxy::with_keys(from_ref(&host), KEYS, |_| ()).await;
-            ask_and_go(&proxy, &host, &ask(class, "k", Duration::from_secs(2))).await;
+            ask_for_and_go(&proxy, &host, class, "k", Duration::from_secs(2)).await;
             let started = Instant::now();
             let short = ask(class, "k", Duration::from_millis(120));
             is(&proxy.client().await.ask(&short).await, "key-running", "running");
@@ -170,7 +186,7 @@
             let (head, rest) = ("HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\npa", "id k");
             let host = Host::start([Act::SayInTwo(head.to_owned(), rest.to_owned())]).await;
             let proxy = Proxy::with_keys(from_ref(&host), KEYS, |_| ()).await;
-            ask_and_go(&proxy, &host, &long(class, "k")).await;
+            ask_and_go(&proxy, &host, class, "k").await;
             let mut again = proxy.client().await;
             again.send(&long(class, "k")).await;
             proxy.has_noticed().await;
@@ -186,24 +202,27 @@
 #[test]
 fn a_drain_lets_a_lingering_call_end() {
     run(async {
-        let (host, other) = (Host::start([Act::Stall]).await, Host::start([ok("other")]).await);
+        let (host, other) = (Host::start([Act::Stall, ok("old")]).await, Host::start([ok("other")]).await);
         let discovery = Discovery::quiet().await;
         let config = configuration(discovery.address, from_ref(&host), |_| ());
         let proxy = Proxy::configured(Setup { config, keys: Some(KEYS.to_owned()) }).await;
         eventually("it is watched", || !discovery.asked.borrow().is_empty()).await;
-        ask_and_go(&proxy, &host, &long("unsafe", "k")).await;
+        ask_and_go(&proxy, &host, "unsafe", "k").await;
         let hosts = [entry("s-0", host.address, "Terminating"), entry("s-1", other.address, "Ready")];
         discovery.push(&chunk(&list(50, true, &hosts))).await;
         // It has heard of it once a request goes to the other one.
+        let mut early = 0;
         while proxy.client().await.ask(&request("free", "", "")).await.body != b"other" {
+            early += 1;
             sleep(Duration::from_millis(5)).await;
         }
-        assert_eq!(host.open.get(), 1, "its connection is kept");
+        // Of several engines, another may close what it kept a moment later.
+        eventually("its connection alone is kept", || host.open.get() == 1).await;
         host.release.notify_one();
         let answer = proxy.client().await.ask(&long("unsafe", "k")).await;
         assert!(is_replayed(&answer) && answer.body == b"released", "{answer:?}");
         eventually("it is closed then", || host.open.get() == 0).await;
-        assert_eq!(host.count(), 1);
+        assert_eq!(host.count() - early, 1, "{early} others went there before the drain was heard of");
     });
 }
 
@@ -217,7 +236,7 @@
             for act in [Act::Stall, Act::SayInTwo("HTTP/1.1 ".to_owned(), "nonsense\r\n\r\n".to_owned())] {
                 let hosts = [Host::start([act.clone()]).await];
                 let proxy = Proxy::with_keys(&hosts, KEYS, |_| ()).await;
-                ask_and_go(&proxy, &hosts[0], &long(class, "k")).await;
+                ask_and_go(&proxy, &hosts[0], class, "k").await;
                 match act {
                     Act::Stall => hosts[0].kill(),
                     _ => hosts[0].release.notify_one(),
@@ -230,7 +249,7 @@
             // Cut short.
             let host = Host::start([Act::SayInTwo(head.clone(), String::new())]).await;
             let proxy = Proxy::with_keys(from_ref(&host), KEYS, |_| ()).await;
-            ask_and_go(&proxy, &host, &long(class, "k")).await;
+            ask_and_go(&proxy, &host, class, "k").await;
             host.kill();
             eventually("its connection has gone", || host.open.get() == 0).await;
             proxy.has_noticed().await;
@@ -248,7 +267,7 @@
         let twice = Act::SayInTwo(String::new(), [one, two].concat());
         let host = Host::start([twice, ok("own")]).await;
         let proxy = Proxy::with_keys(from_ref(&host), KEYS, |_| ()).await;
-        ask_and_go(&proxy, &host, &long("unsafe", "k")).await;
+        ask_and_go(&proxy, &host, "unsafe", "k").await;
         host.release.notify_one();
         let again = proxy.client().await.ask(&long("unsafe", "k")).await;
         assert!(is_replayed(&again) && again.body == b"one", "{again:?}");
@@ -270,7 +289,7 @@
                 config["settings"]["classes"][2]["deadline_us"] = deadline.into();
             })
             .await;
-            ask_and_go(&proxy, &host, &long("unsafe", "k")).await;
+            ask_and_go(&proxy, &host, "unsafe", "k").await;
             assert_eq!(host.open.get(), 1, "it lingers");
             let started = Instant::now();
             eventually("it is closed", || host.open.get() == 0).await;
@@ -290,7 +309,7 @@
             let keys = format!(r#"{{"{bound}": 2}}"#);
             let proxy = Proxy::with_keys(from_ref(&host), &keys, |_| ()).await;
             for key in ["k1", "k2", "k3"] {
-                ask_and_go(&proxy, &host, &long("unsafe", key)).await;
+                ask_and_go(&proxy, &host, "unsafe", key).await;
             }
             eventually("one is closed", || host.open.get() == 2).await;
             is(&proxy.client().await.ask(&long("unsafe", "k1")).await, "key-unsure", "unsure");
@@ -318,8 +337,9 @@
         let mut client = proxy.client().await;
         client.send(&text).await;
         let (stream, _) = listener.accept().await.expect("accepted");
-        stream.readable().await.expect("it is written to");
-        client.go().await;
+        // Not readable(): that may say so of a stream of which nothing has come yet.
+        assert!(stream.peek(&mut [0]).await.expect("it is written to") > 0);
+        go(&proxy, client, "unsafe", "k").await;
         // Only now the host reads: it finds less than the request, and its end.
         let mut read = 0;
         loop {
@@ -332,7 +352,7 @@
                 Err(_) => break,
             }
         }
-        assert!(read > 0 && read < body.len(), "{read}");
+        assert!(read > 0 && read < body.len(), "{read} of {}", body.len());
         is(&proxy.client().await.ask(&text).await, "key-unsure", "unsure");
     });
 }
