--- a/lab/src/fault.rs
+++ b/lab/src/fault.rs
@@ -79,6 +79,9 @@
     DiscoveryDown,
     /// Discovery says nothing more; connections to it come up.
     DiscoverySilent,
+    /// Discovery answers asks for the list in turn, each for `much` milliseconds (10); those that wait for over a second
+    /// fail, and so do those beyond three seconds' work.
+    DiscoveryBusy,
     /// Discovery tells that these hosts are gone, though they are not.
     DiscoveryWrong,
     /// Discovery takes these hosts off the list and puts them back, over and over, `much` times a second (2).
@@ -95,7 +98,7 @@
 
 impl What {
     /// All of them.
-    pub const ALL: [What; 22] = [
+    pub const ALL: [What; 23] = [
         What::Kill,
         What::Vanish,
         What::Drain,
@@ -112,6 +115,7 @@
         What::DelayBack,
         What::DiscoveryDown,
         What::DiscoverySilent,
+        What::DiscoveryBusy,
         What::DiscoveryWrong,
         What::DiscoveryFlaps,
         What::Restart,
@@ -128,6 +132,7 @@
             What::Resets => (0.3, 0.0, 1.0),
             What::Stale => (0.4, 0.0, 1.0),
             What::DelayBack => (50.0, 0.0, 60_000.0),
+            What::DiscoveryBusy => (10.0, 0.1, 10_000.0),
             What::DiscoveryFlaps => (2.0, 0.1, 100.0),
             What::Clock => (3_600.0, -1e9, 1e9),
             What::Crowd => (3.0, 0.0, 1_000.0),
--- a/lab/src/fleet/mod.rs
+++ b/lab/src/fleet/mod.rs
@@ -51,6 +51,7 @@
 #[derive(Clone, Copy, Debug)]
 enum Watch {
     Opens,
+    Begins,
     Hears,
     Fails,
     Retries,
@@ -92,7 +93,7 @@
     pub fn new(scenario: Rc<Scenario>, seed: u64, picks: Picks) -> Result<Fleet, String> {
         let mut queue = Queue::default();
         let model = Model::new(scenario.clone(), seed, &mut queue);
-        let config = crate::site::config(&scenario, seed, 0, crate::site::discovery_address())?;
+        let config = crate::site::config(&scenario, seed, 0, crate::site::discovery_address(), None)?;
         let site = Site {
             connect: config.connect_timeout.as_micros() as Micros,
             // As the engine keeps them.
@@ -129,6 +130,9 @@
 
     fn start(&mut self, proxy: usize) {
         self.module(proxy, policy::Event::Start);
+        if let Some(known) = self.model.proxies[proxy].known.clone() {
+            self.takes(proxy, &known, policy::ListKind::Cached);
+        }
         if !self.model.scenario.discovery.asked {
             self.subscribe(proxy);
         }
--- a/lab/src/fleet/proxy.rs
+++ b/lab/src/fleet/proxy.rs
@@ -3,7 +3,7 @@
 use super::{Ev, Fleet, Watch};
 use crate::baseline::Decide;
 use crate::draw::Draw;
-use crate::model::registry::{Listed, News};
+use crate::model::registry::{Listed, News, Turn};
 use crate::Micros;
 use nettleworks_policy as policy;
 use policy::{CellId, Entry, Event, ListKind, ServerId, State, ZoneId};
@@ -119,10 +119,14 @@
             }
             Watch::Opens if self.model.registry.silent => self.put_watch(proxy, SILENCE, Watch::Fails),
             Watch::Opens => {
-                self.proxies[proxy].hears = true;
-                let back = self.way(proxy, 1);
-                self.put_watch(proxy, back, Watch::Hears);
+                let (back, now) = (self.way(proxy, 1), self.model.now);
+                match self.model.registry.asked(now) {
+                    Turn::Answered(at) if at == now => self.begins(proxy),
+                    Turn::Answered(at) => self.put_watch(proxy, at - now, Watch::Begins),
+                    Turn::Fails(at) => self.put_watch(proxy, at - now + back, Watch::Fails),
+                }
             }
+            Watch::Begins => self.begins(proxy),
             Watch::Hears => {
                 if let Some(news) = self.model.registry.news(self.proxies[proxy].seq) {
                     self.hears(proxy, &news);
@@ -139,6 +143,13 @@
         }
     }
 
+    /// Its ask has been answered: from here on it hears what changes.
+    fn begins(&mut self, proxy: usize) {
+        self.proxies[proxy].hears = true;
+        let back = self.way(proxy, 1);
+        self.put_watch(proxy, back, Watch::Hears);
+    }
+
     /// The list has changed, or discovery is down, or silent.
     pub(super) fn news(&mut self) {
         let (down, silent) = (self.model.registry.down, self.model.registry.silent);
@@ -161,6 +172,11 @@
     /// A proxy takes news in, as the engine does.
     fn hears(&mut self, proxy: usize, news: &News) {
         self.model.told(proxy, news);
+        self.takes(proxy, news, if news.whole { ListKind::Full } else { ListKind::Delta });
+    }
+
+    /// Takes a list in, from whomever.
+    pub(super) fn takes(&mut self, proxy: usize, news: &News, kind: ListKind) {
         let hosts = &self.model.hosts;
         let at = &mut self.proxies[proxy];
         at.seq = Some(news.seq);
@@ -187,7 +203,6 @@
                 weight: 1.0,
             });
         }
-        let kind = if news.whole { ListKind::Full } else { ListKind::Delta };
         self.proxies[proxy].events.push_back(Event::Members { kind, entries });
         self.withdraw(proxy);
         self.run(proxy);
--- a/lab/src/full/bridge.rs
+++ b/lab/src/full/bridge.rs
@@ -50,7 +50,7 @@
         for proxy in 0..proxies {
             let (started, address) = mpsc::channel();
             let (stop, stopped) = oneshot::channel::<()>();
-            let config = site::config(&scenario, seed, proxy, discovery.local_addr().map_err(bad)?)?;
+            let config = site::config(&scenario, seed, proxy, discovery.local_addr().map_err(bad)?, None)?;
             threads.push(std::thread::spawn(move || serve(config, &started, stopped)));
             stops.push(stop);
             let address = address.recv_timeout(Duration::from_secs(10)).map_err(|error| error.to_string())?;
--- a/lab/src/full/net.rs
+++ b/lab/src/full/net.rs
@@ -42,6 +42,12 @@
         conn: ConnId,
         served: u32,
     },
+    /// A watch's turn at a busy discovery: it knows the list as of a version, or fails.
+    Turn {
+        conn: ConnId,
+        since: Option<u64>,
+        fails: bool,
+    },
     /// A watch's time for a heartbeat.
     Beat {
         conn: ConnId,
@@ -224,6 +230,7 @@
             Ev::Model(event) => self.model.handle(event, &mut self.queue),
             Ev::Piece { conn, side, piece } => self.piece(conn, side, piece),
             Ev::Idle { conn, served } => self.is_idle(conn, served),
+            Ev::Turn { conn, since, fails } => self.turn(conn, since, fails),
             Ev::Beat { conn } => self.beat(conn),
         }
     }
--- a/lab/src/full/peers.rs
+++ b/lab/src/full/peers.rs
@@ -4,7 +4,7 @@
 use super::wire::{self, Read};
 use crate::judge::Rule;
 use crate::model::host::{Ends, Up};
-use crate::model::registry::{Listed, News};
+use crate::model::registry::{Listed, News, Turn};
 use crate::model::{Answer, At, Out};
 use crate::scenario::Kind;
 use crate::site;
@@ -324,6 +324,21 @@
         let Read::Head(head) = wire::request(side.come.make_contiguous()) else { return };
         wire::take(&mut side.come, &head);
         let since = head.first.split_once("since=").and_then(|(_, since)| since.parse().ok());
+        let now = self.model.now;
+        match self.model.registry.asked(now) {
+            Turn::Answered(at) if at == now => self.turn(number, since, false),
+            Turn::Answered(at) => self.queue.put(at, Ev::Turn { conn: number, since, fails: false }),
+            Turn::Fails(at) => self.queue.put(at, Ev::Turn { conn: number, since, fails: true }),
+        }
+    }
+
+    /// A watch's turn.
+    pub fn turn(&mut self, number: ConnId, since: Option<u64>, fails: bool) {
+        let Some(conn) = self.conns.get_mut(&number) else { return };
+        if fails {
+            self.put(number, OPENER, Piece::Reset);
+            return self.close(number, TAKER);
+        }
         conn.heard = Some(since);
         if !self.model.registry.silent {
             self.tell(number);
@@ -349,7 +364,17 @@
         self.write(number, OPENER, line, Some(Box::new(news)));
     }
 
+    /// The list that a proxy's next process starts with.
+    pub fn known(&self, proxy: usize) -> Option<serde_json::Value> {
+        let known = self.model.proxies[proxy].known.as_ref()?;
+        Some(self.listed(known))
+    }
+
     fn line(&self, news: &News) -> String {
+        self.listed(news).to_string() + "\n"
+    }
+
+    fn listed(&self, news: &News) -> serde_json::Value {
         let hosts: Vec<_> = news
             .entries
             .iter()
@@ -368,7 +393,7 @@
                        "share": 1.0, "born_ms": born})
             })
             .collect();
-        json!({"seq": news.seq, "whole": news.whole, "hosts": hosts}).to_string() + "\n"
+        json!({"seq": news.seq, "whole": news.whole, "hosts": hosts})
     }
 
     pub fn beat(&mut self, number: ConnId) {
--- a/lab/src/full/play.rs
+++ b/lab/src/full/play.rs
@@ -102,7 +102,8 @@
         // Another start draws otherwise.
         let seed = seed ^ self.starts << 48;
         self.starts += 1;
-        let config = site::config(scenario, seed, self.proxy, site::discovery_address())?;
+        let known = self.node.world.borrow().known(self.proxy);
+        let config = site::config(scenario, seed, self.proxy, site::discovery_address(), known)?;
         let door = Listener::Virtual(Box::new(Door { world: self.node.world.clone(), proxy: self.proxy }));
         let tasks = LocalSet::new();
         let proxy = self.proxy;
--- a/lab/src/model/mod.rs
+++ b/lab/src/model/mod.rs
@@ -206,6 +206,8 @@
     pub zone: usize,
     /// Its clients read nothing.
     pub slow_reader: bool,
+    /// The list that its next process starts with.
+    pub known: Option<registry::News>,
 }
 
 /// Something planted that must not be: the tests of determinism look whether it is noticed.
@@ -251,6 +253,8 @@
     pub leak: Option<Leak>,
     things: Vec<Thing>,
     arrivals: Vec<u64>,
+    /// Mean time between arrivals at each proxy at the highest rate, in microseconds.
+    gaps: Vec<f64>,
     /// Keys that a pod has run, and when, for its window.
     keys: Table<(usize, u64), Micros>,
     key_ends: VecDeque<(Micros, usize, u64)>,
@@ -262,13 +266,38 @@
     rate_most: f64,
 }
 
+/// Mean times between arrivals at each proxy, where all have so many a second.
+fn gaps(scenario: &Scenario, seed: u64, rate: f64) -> Vec<f64> {
+    let load = &scenario.load;
+    if load.skew == 0.0 {
+        return vec![1e6 * load.proxies as f64 / rate; load.proxies];
+    }
+    let drawn = |proxy: usize| Draw::new(seed, "busy", proxy as u64, 0).share();
+    let mut order: Vec<usize> = (0..load.proxies).collect();
+    order.sort_by(|&one, &other| drawn(one).total_cmp(&drawn(other)));
+    let mut gaps = vec![0.0; load.proxies];
+    for (rank, proxy) in (1..).zip(order) {
+        gaps[proxy] = f64::from(rank).powf(load.skew);
+    }
+    let sum: f64 = gaps.iter().map(|gap| 1.0 / gap).sum();
+    gaps.iter_mut().for_each(|gap| *gap *= 1e6 * sum / rate);
+    gaps
+}
+
 impl Model {
     /// At the start of a settled scenario. `put` takes what is to come first.
     pub fn new(scenario: Rc<Scenario>, seed: u64, queue: &mut Queue<impl From<Event>>) -> Model {
         let fleet = &scenario.fleet;
         let hosts = (0..fleet.hosts + fleet.spares).map(|number| Host::new(number, fleet)).collect();
+        let registry = Registry::new(fleet.hosts);
+        let known = registry.news(None).filter(|_| scenario.discovery.known);
         let proxies = (0..scenario.load.proxies)
-            .map(|number| Proxy { up: true, zone: number % fleet.zones, ..Proxy::default() })
+            .map(|number| Proxy {
+                up: true,
+                zone: number % fleet.zones,
+                known: known.clone(),
+                ..Proxy::default()
+            })
             .collect();
         let total: f64 = scenario.classes.iter().map(|class| class.share).sum();
         let mut sum = 0.0;
@@ -288,7 +317,7 @@
             now: 0,
             seed,
             hosts,
-            registry: Registry::new(fleet.hosts),
+            registry,
             proxies,
             calls: Vec::new(),
             tally: Tally::new(&scenario),
@@ -300,6 +329,7 @@
             leak: None,
             things: Vec::new(),
             arrivals: vec![0; scenario.load.proxies],
+            gaps: gaps(&scenario, seed, scenario.load.rate * most * crowd),
             keys: Table::default(),
             key_ends: VecDeque::new(),
             of_keys: Table::default(),
@@ -362,7 +392,7 @@
         let count = &mut self.arrivals[proxy as usize];
         *count += 1;
         // At the highest rate that there is; what is over the present one is thinned out.
-        let mean = 1e6 * self.scenario.load.proxies as f64 / self.rate_most;
+        let mean = self.gaps[proxy as usize];
         let gap = Draw::new(self.seed, "gap", u64::from(proxy), *count).gap(mean);
         let at = from.saturating_add(gap.max(1.0) as Micros);
         if at <= self.last_ask() {
@@ -864,6 +894,9 @@
     /// A proxy has been told of the list.
     pub fn told(&mut self, proxy: usize, news: &registry::News) {
         let (now, hosts) = (self.now, self.hosts.len());
+        if self.scenario.discovery.known {
+            self.proxies[proxy].known = self.registry.news(None);
+        }
         let ready = |entry: &registry::Entry| entry.listed == registry::Listed::Ready;
         let told = &mut self.proxies[proxy].told;
         if news.whole {
@@ -891,3 +924,22 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn proxies_are_as_unequal_as_they_are_said_to_be() {
+        for (skew, times) in [(0.0, 1.0), (1.0, 10.0)] {
+            let text =
+                format!("name = \"x\"\nseconds = 1.0\n[load]\nproxies = 10\nrate = 200.0\nskew = {skew}");
+            let scenario = Scenario::parse(&text).expect("a good scenario");
+            let gaps = gaps(&scenario, 4, 200.0);
+            let rate: f64 = gaps.iter().map(|gap| 1e6 / gap).sum();
+            assert!((rate - 200.0).abs() < 1e-6, "{rate} a second in all");
+            let (least, most) = gaps.iter().fold((f64::MAX, 0.0_f64), |s, &gap| (s.0.min(gap), s.1.max(gap)));
+            assert!((most / least - times).abs() < 1e-6, "{skew}: {most} by {least}");
+        }
+    }
+}
--- a/lab/src/model/registry.rs
+++ b/lab/src/model/registry.rs
@@ -38,6 +38,20 @@
 /// Changes that are kept for watches that come back; one that has missed more gets the whole list.
 const KEPT: usize = 4_096;
 
+/// An ask that waits for longer is given up, though its turn is spent; in microseconds.
+const WAITS_MOST: Micros = 1_000_000;
+/// Work that may wait at a busy discovery, in microseconds: asks beyond are turned away at once and take no turn.
+const QUEUED_MOST: Micros = 3_000_000;
+
+/// What becomes of an ask.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Turn {
+    /// It is answered then.
+    Answered(Micros),
+    /// It fails then.
+    Fails(Micros),
+}
+
 /// The list.
 #[derive(Clone, Debug)]
 pub struct Registry {
@@ -49,13 +63,41 @@
     pub down: bool,
     /// It says nothing.
     pub silent: bool,
+    /// It answers asks in turn, each for so long, in microseconds; 0: all at once.
+    pub each: Micros,
+    /// When it is done with the asks that have come.
+    busy_until: Micros,
 }
 
 impl Registry {
     /// All hosts ready.
     pub fn new(hosts: usize) -> Registry {
         let entries = (0..hosts).map(|host| Entry { host, listed: Listed::Ready, started: 0 }).collect();
-        Registry { entries, seq: 1, changes: Default::default(), down: false, silent: false }
+        Registry {
+            entries,
+            seq: 1,
+            changes: Default::default(),
+            down: false,
+            silent: false,
+            each: 0,
+            busy_until: 0,
+        }
+    }
+
+    /// An ask has come.
+    pub fn asked(&mut self, now: Micros) -> Turn {
+        if self.each == 0 {
+            return Turn::Answered(now);
+        }
+        let begins = self.busy_until.max(now);
+        if begins - now > QUEUED_MOST {
+            return Turn::Fails(now);
+        }
+        self.busy_until = begins + self.each;
+        match self.busy_until - now <= WAITS_MOST {
+            true => Turn::Answered(self.busy_until),
+            false => Turn::Fails(now + WAITS_MOST),
+        }
     }
 
     /// What it says of a host.
@@ -117,4 +159,21 @@
         // A version that is not this registry's.
         assert!(registry.news(Some(9)).is_some_and(|news| news.whole));
     }
+
+    #[test]
+    fn a_busy_discovery_answers_in_turn_and_fails_the_late() {
+        let mut registry = Registry::new(1);
+        assert_eq!(registry.asked(5), Turn::Answered(5), "it has time for all");
+        registry.each = 400_000;
+        assert_eq!(registry.asked(0), Turn::Answered(400_000));
+        assert_eq!(registry.asked(0), Turn::Answered(800_000));
+        // Its turn comes after a second; it is spent all the same.
+        assert_eq!(registry.asked(0), Turn::Fails(WAITS_MOST));
+        assert_eq!(registry.asked(400_000), Turn::Fails(400_000 + WAITS_MOST));
+        assert_eq!(registry.asked(1_000_000), Turn::Answered(2_000_000));
+        for _ in 0..7 {
+            registry.asked(1_000_000);
+        }
+        assert_eq!(registry.asked(1_000_000), Turn::Fails(1_000_000), "no room, and no turn");
+    }
 }
--- a/lab/src/model/trouble.rs
+++ b/lab/src/model/trouble.rs
@@ -99,6 +99,10 @@
                 (self.registry.down, self.registry.silent) = (down, silent);
                 self.out.push_back(Out::News);
             }
+            What::DiscoveryBusy => {
+                let busy = self.active().filter(|fault| fault.what == What::DiscoveryBusy);
+                self.registry.each = busy.map(|fault| micros(fault.much() / 1e3)).max().unwrap_or_default();
+            }
             What::DiscoveryWrong => {
                 let listed = if begins { Listed::Gone } else { Listed::Ready };
                 self.lists(&hosts, listed, queue);
--- a/lab/src/scenario.rs
+++ b/lab/src/scenario.rs
@@ -174,11 +174,13 @@
     pub notice_ms: f64,
     /// Whether proxies ask for the list; else it is pushed.
     pub asked: bool,
+    /// Whether a proxy starts with the list that it had last, the first time with that of the start.
+    pub known: bool,
 }
 
 impl Default for Discovery {
     fn default() -> Self {
-        Discovery { lag_ms: 50.0, notice_ms: 3_000.0, asked: true }
+        Discovery { lag_ms: 50.0, notice_ms: 3_000.0, asked: true, known: false }
     }
 }
 
@@ -190,6 +192,9 @@
     pub proxies: usize,
     /// First tries a second, over all proxies together; independent of how they are answered (Poisson).
     pub rate: f64,
+    /// How unequal proxies are: the rate of the one that comes n-th by rate goes by `n^-skew` (Zipf's law); which is
+    /// which is drawn. 0: all are alike.
+    pub skew: f64,
     /// Points of time in seconds and times of `rate`, between which it goes evenly. None: always one.
     pub curve: Vec<(f64, f64)>,
     /// Most tries of a client for one thing.
@@ -222,6 +227,7 @@
         Load {
             proxies: 4,
             rate: 400.0,
+            skew: 0.0,
             curve: Vec::new(),
             tries: 3,
             pause_ms: 100.0,
@@ -419,6 +425,7 @@
         span("discovery.notice_ms", self.discovery.notice_ms, 0.0, 600_000.0)?;
         count("load.proxies", load.proxies, 1, PROXIES_MOST)?;
         span("load.rate", load.rate, 0.0001, RATE_MOST)?;
+        span("load.skew", load.skew, 0.0, 3.0)?;
         for (at, &(time, times)) in load.curve.iter().enumerate() {
             span(&format!("load.curve[{at}][0]"), time, 0.0, SECONDS_MOST)?;
             span(&format!("load.curve[{at}][1]"), times, 0.0, 1_000.0)?;
--- a/lab/src/site.rs
+++ b/lab/src/site.rs
@@ -36,12 +36,18 @@
     format!("tenant-{number}")
 }
 
-/// A proxy's configuration.
+/// A proxy's configuration. `known`: the list that it had last, in discovery's form.
 ///
 /// # Errors
 ///
 /// What the daemon's own checks say of it.
-pub fn config(scenario: &Scenario, seed: u64, proxy: usize, discovery: SocketAddr) -> Result<Config, String> {
+pub fn config(
+    scenario: &Scenario,
+    seed: u64,
+    proxy: usize,
+    discovery: SocketAddr,
+    known: Option<Value>,
+) -> Result<Config, String> {
     let micros = |ms: f64| (ms * 1e3) as u64;
     let window = scenario.fleet.window_ms * 1_000;
     let classes: Vec<Value> = scenario
@@ -63,7 +69,7 @@
         .map(|(number, share)| json!({"name": tenant(number), "portion": share}))
         .collect();
     let fleet = &scenario.fleet;
-    let text = json!({
+    let mut text = json!({
         "name": format!("proxy-{proxy}"), "listen": "127.0.0.1:0", "discovery": discovery.to_string(),
         "seed": format!("{:x}", crate::draw::name(seed, "proxy", proxy as u64)),
         "limits": {"sockets": scenario.load.sockets},
@@ -79,6 +85,9 @@
             "result_mix": {"whole": 0.7, "worst_class": 0.3}
         }
     });
+    if let Some(known) = known {
+        text["known"] = known;
+    }
     let config = Config::parse(&text.to_string())?;
     if scenario.load.keys == 0 {
         return Ok(config);
--- a/lab/tests/scenarios.rs
+++ b/lab/tests/scenarios.rs
@@ -56,6 +56,7 @@
         ("name = \"x\"\nseconds = 5.0\n[fleet]\nhosts = 2\npods = 3", "fleet.pods"),
         ("name = \"x\"\nseconds = 5.0\n[fleet]\nhost = 2", "fleet"),
         ("name = \"x\"\nseconds = 5.0\n[load]\nrate = -1.0", "load.rate"),
+        ("name = \"x\"\nseconds = 5.0\n[load]\nskew = nan", "load.skew"),
         ("name = \"x\"\nseconds = 5.0\n[load]\nproxies = 99999999", "load.proxies"),
         ("name = \"x\"\nseconds = 5.0\n[load]\ncurve = [[3.0, 1.0], [2.0, 1.0]]", "load.curve[1]"),
         ("name = \"x\"\nseconds = 5.0\n[load]\ntenants = []", "load.tenants"),
--- /dev/null
+++ b/lab/tests/standing.rs
@@ -0,0 +1,111 @@
+//! The days of the standing test as scenarios of our own (`scenarios/standing/`): at full size in fleet depth, small in
+//! full stack.
+
+mod common;
+
+use common::{sound, whole};
+use nettleworks_lab::fault::Which;
+use nettleworks_lab::run::{Depth, Outcome};
+use nettleworks_lab::scenario::Scenario;
+use std::path::Path;
+
+const DAYS: [&str; 7] = ["calm", "roll", "herd", "zone", "split", "join", "soak"];
+
+fn day(name: &str) -> Scenario {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join(format!("scenarios/standing/standing-{name}.toml"));
+    Scenario::load(&path).unwrap_or_else(|error| panic!("{error}"))
+}
+
+/// The same with a tenth of proxies and hosts, which leaves each proxy and each host its load, in half the time; of the
+/// long day its first minute.
+fn small(name: &str) -> Scenario {
+    let mut small = day(name);
+    if name == "soak" {
+        small.seconds = 60.0;
+        small.faults.iter_mut().for_each(|fault| fault.stagger /= 8.0);
+        small.chaos.iter_mut().for_each(|chaos| chaos.faults = 3);
+        return small;
+    }
+    small.fleet.hosts /= 10;
+    small.fleet.pods = 10;
+    small.load.proxies /= 10;
+    small.load.rate /= 10.0;
+    small.fleet.connections /= 2;
+    let fewer = |which: &mut Which| match which {
+        Which::Any(count) => *count = count.div_ceil(10),
+        Which::These(these) => {
+            *these = these.iter().filter(|&one| one % 10 == 0).map(|one| one / 10).collect();
+        }
+        Which::All | Which::Pod(_) | Which::Zone(_) => {}
+    };
+    for fault in &mut small.faults {
+        fault.stagger *= 10.0;
+        fewer(&mut fault.hosts);
+        fewer(&mut fault.proxies);
+    }
+    let small = small.light(small.seconds / 2.0, f64::MAX);
+    small.check().unwrap_or_else(|error| panic!("{error}"));
+    small
+}
+
+/// Share of the worth that began in these seconds and was served.
+fn served(outcome: &Outcome, seconds: std::ops::Range<usize>) -> f64 {
+    let parts = outcome.tally.seconds[seconds].iter().filter_map(|second| second.part.as_ref());
+    let (got, offered) = parts.fold((0.0, 0.0), |sum, part| (sum.0 + part.got, sum.1 + part.offered));
+    got / offered
+}
+
+#[test]
+fn each_day_in_the_small_keeps_the_rules_in_both_depths() {
+    for name in DAYS {
+        for depth in [Depth::Full, Depth::Fleet] {
+            let outcome = sound(&small(name), 2, depth);
+            let served = outcome.tally.all.served();
+            assert!(served > 0.75, "{name} {depth:?}: {served}");
+        }
+    }
+}
+
+/// Six seconds of the calm day at full size; hosts hold so many connections.
+fn calm(proxies: usize, connections: usize) -> Outcome {
+    let mut calm = day("calm");
+    (calm.seconds, calm.warm_up) = (6.0, 2.0);
+    calm.load.curve.clear();
+    (calm.load.proxies, calm.fleet.connections) = (proxies, connections);
+    sound(&calm, 1, Depth::Fleet)
+}
+
+/// The collapse that the operators met: each proxy keeps a connection to most hosts, hosts run out of them, and what is
+/// refused there is held against the hosts.
+#[test]
+fn three_hundred_proxies_do_not_use_up_the_hosts_connections() {
+    let outcome = calm(300, 40);
+    let (open, served) = (outcome.tally.connections, served(&outcome, 2..6));
+    assert!(open <= 25, "{open} of 40 at one host");
+    assert!(served > 0.99, "{served}");
+}
+
+/// Without a list from before a thousand proxies have nothing to go by, and their clients are there at once.
+#[test]
+fn a_thousand_that_start_without_a_list_serve_within_two_seconds() {
+    let mut start = day("calm");
+    (start.seconds, start.warm_up) = (5.0, 0.0);
+    start.load.curve.clear();
+    start.load.proxies = 1_000;
+    start.discovery.known = false;
+    let outcome = sound(&start, 1, Depth::Fleet);
+    assert!(served(&outcome, 2..5) > 0.97, "{}", served(&outcome, 2..5));
+}
+
+/// Seven in ten start at once before a discovery that answers in turn: they ask one after the other, and what they know
+/// from before serves meanwhile.
+#[test]
+fn a_herd_that_has_a_list_is_served_while_discovery_is_overbooked() {
+    let mut herd = day("herd");
+    (herd.seconds, herd.warm_up) = (14.0, 1.0);
+    let outcome = whole(&herd, 1, Depth::Fleet);
+    assert_eq!(outcome.breaks, []);
+    // Each of 300 begins once and 210 once more.
+    assert!(outcome.tally.watches <= 600, "{} asks", outcome.tally.watches);
+    assert!(served(&outcome, 10..14) > 0.93, "{}", served(&outcome, 10..14));
+}
--- a/policy/src/balance.rs
+++ b/policy/src/balance.rs
@@ -276,6 +276,7 @@
             Event::Request { call, class, tenant, time_left, .. } if !self.calls.contains_key(&call) => {
                 self.request(now, call, class, time_left);
                 self.admit(now, call, tenant, actions);
+                self.ask_sooner(now);
             }
             Event::Outcome { call, attempt, outcome, elapsed, closed, load } => {
                 self.report(now, call, attempt, load);
@@ -340,8 +341,7 @@
 
     fn members(&mut self, now: Micros, kind: ListKind, entries: &[Entry]) {
         if kind == ListKind::Failed {
-            self.ask_again(now);
-            return;
+            return self.ask_again(now);
         }
         // News prove that asking works again, whoever asked.
         if kind != ListKind::Cached {
--- a/policy/src/balance/ask.rs
+++ b/policy/src/balance/ask.rs
@@ -24,6 +24,14 @@
         }
     }
 
+    /// A call finds no list. Each of these halves what is left of the first pause: the busiest, whose
+    /// clients lose the most, ask first, and a thousand that all have clients still do not ask in one moment.
+    pub(super) fn ask_sooner(&mut self, now: Micros) {
+        if self.listed == 0 && self.ask_failures == 0 && self.ask_at != Micros::MAX {
+            self.ask_at = now + self.ask_at.saturating_sub(now) / 2;
+        }
+    }
+
     /// After a call that has failed, or a watch that has ended.
     pub(super) fn ask_again(&mut self, now: Micros) {
         let pause = self.ask_pause();
--- a/policy/tests/fleet.rs
+++ b/policy/tests/fleet.rs
@@ -118,6 +118,43 @@
     assert!(asked, "what it had before it started may be old");
 }
 
+/// When one of a thousand that has clients asks first, by so many calls each tenth of a second.
+fn first_ask(list: bool, calls: usize) -> Micros {
+    // Its draw lies beyond ten seconds: what is left is for the calls to shorten.
+    let drawn = |seed| {
+        let mut proxy =
+            Proxy::seeded(seed, Settings { balancers: 1_000, ask: true, ..settings(Repeat::Free) });
+        if list {
+            proxy.list(ListKind::Cached, vec![ready(1)]);
+        }
+        proxy
+    };
+    let late = |seed: &u64| {
+        let mut proxy = drawn(*seed);
+        !(0..1_000).any(|_| proxy.wait(10 * MS).contains(&Action::Subscribe))
+    };
+    let mut proxy = drawn((0..100).find(late).expect("one that is drawn late"));
+    for step in 0..4_000 {
+        if proxy.wait(10 * MS).contains(&Action::Subscribe) {
+            return step * 10 * MS;
+        }
+        for _ in 0..if step % 10 == 0 { calls } else { 0 } {
+            if proxy.call().1.contains(&Action::Subscribe) {
+                return step * 10 * MS;
+            }
+        }
+    }
+    panic!("it never asked");
+}
+
+#[test]
+fn a_balancer_without_a_list_asks_the_sooner_the_more_calls_find_none() {
+    assert!(first_ask(false, 0) >= 10_000 * MS, "nobody asks it for anything");
+    assert!(first_ask(false, 1) <= 2_500 * MS, "ten calls a second: {}", first_ask(false, 1));
+    assert!(first_ask(false, 5) <= 600 * MS, "fifty: {}", first_ask(false, 5));
+    assert!(first_ask(true, 5) >= 10_000 * MS, "it has a list to go by");
+}
+
 /// Calls of a busy balancer of a hundred before sixty servers, one each 20 ms. From the two hundredth on each so many-th
 /// is one whose work never ends, at whichever server; the others take 78 ms instead of 40. How many of the next thousand are refused?
 fn refused_beside(hopeless: usize) -> usize {
