Test signals while the fleet changes, with real processes and a ledger

Need: hard cases of the standing issue: SIGTERM while hosts are replaced and discovery moves by SIGHUP, a SIGHUP during a drain, a SIGTERM beside a SIGHUP, new connections that are closed without an answer. Change: proxy/tests/roll.rs: three daemons are rolled under charges while half of the hosts go; the hosts' ledger says that none ran twice and that the drained got nothing more; at most one new connection in 200 may close unanswered.

--- /dev/null
+++ b/proxy/tests/roll.rs
@@ -0,0 +1,257 @@
+//! Signals while the fleet changes, with real processes: SIGTERM and SIGHUP in turn, at once, and during a drain. What
+//! the hosts have run is their ledger's word.
+
+use nettleworks_standins::*;
+use std::cell::{Cell, RefCell};
+use std::fs::File;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::task::spawn_local;
+use tokio::time::{sleep, timeout, Instant};
+
+/// A process of the daemon. It is killed when this is dropped.
+struct Daemon {
+    address: String,
+    config: PathBuf,
+    log: PathBuf,
+    child: Child,
+}
+
+impl Daemon {
+    /// Starts one at an address of its own: no other test, nor the system for a client, takes its port.
+    async fn start(address: &str, config: &str) -> Daemon {
+        let name = address.replace([':', '.'], "-");
+        let folder = std::path::Path::new(env!("CARGO_TARGET_TMPDIR"));
+        let (path, log) = (folder.join(format!("roll-{name}.json")), folder.join(format!("roll-{name}.log")));
+        std::fs::write(&path, config).expect("written");
+        let said = File::options().create(true).append(true).open(&log).expect("a log");
+        let mut command = Command::new(env!("CARGO_BIN_EXE_nettleworks"));
+        command.env("ROUTER_CONFIG", &path).stdout(Stdio::null()).stderr(Stdio::from(said));
+        let child = command.spawn().expect("it starts");
+        let daemon = Daemon { address: address.to_owned(), config: path, log, child };
+        let up = async {
+            while TcpStream::connect(&daemon.address).await.is_err() {
+                sleep(Duration::from_millis(2)).await;
+            }
+        };
+        timeout(PATIENCE / 2, up).await.expect("it serves");
+        daemon
+    }
+
+    fn signal(&self, name: &str) {
+        let sent = Command::new("kill").args([name, &self.child.id().to_string()]).status();
+        assert!(sent.expect("kill runs").success(), "{name}");
+    }
+
+    /// Gives it another configuration.
+    fn reload(&self, config: &str) {
+        std::fs::write(&self.config, config).expect("written");
+        self.signal("-HUP");
+    }
+
+    /// Waits until it has ended: well, and without a panic.
+    async fn ended(&mut self) {
+        let end = async {
+            loop {
+                if let Some(status) = self.child.try_wait().expect("it can be waited for") {
+                    break status.code();
+                }
+                sleep(Duration::from_millis(2)).await;
+            }
+        };
+        assert_eq!(timeout(PATIENCE / 2, end).await.expect("it ends"), Some(0));
+        let log = std::fs::read_to_string(&self.log).expect("text");
+        assert!(!log.contains("panicked"), "{log}");
+    }
+
+    async fn client(&self) -> Client {
+        Reader::new(TcpStream::connect(&self.address).await.expect("it accepts"))
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.log);
+    }
+}
+
+fn at(address: &str, discovery: &Discovery, known: &[Host]) -> String {
+    configuration(discovery.address, known, |config| config["listen"] = address.into())
+}
+
+/// What a customer has met.
+#[derive(Default)]
+struct Met {
+    served: usize,
+    other: usize,
+    /// New connections that were closed without an answer.
+    closed: usize,
+    silent: usize,
+}
+
+/// Sends charge after charge on connections that it keeps, as the platform's clients do: what crosses a close between
+/// requests goes once more on a new connection, and what finds nobody waits.
+async fn customer(address: String, stop: Rc<Cell<bool>>, met: Rc<RefCell<Met>>) {
+    let mut kept: Option<Client> = None;
+    while !stop.get() {
+        let text = request("unsafe", "", "pays");
+        loop {
+            let used = kept.is_some();
+            let mut client = match kept.take() {
+                Some(client) => client,
+                None => match TcpStream::connect(&address).await {
+                    Ok(stream) => Reader::new(stream),
+                    Err(_) => {
+                        sleep(Duration::from_millis(5)).await;
+                        continue;
+                    }
+                },
+            };
+            // One that is closed already says so to the reader.
+            let _ = client.stream.write_all(text.as_bytes()).await;
+            match timeout(Duration::from_secs(9), client.message()).await {
+                Ok(Some(answer)) => {
+                    let mut met = met.borrow_mut();
+                    *if answer.status() == 200 { &mut met.served } else { &mut met.other } += 1;
+                    if answer.header("connection") != Some("close") {
+                        kept = Some(client);
+                    }
+                }
+                Ok(None) if used => continue,
+                Ok(None) => met.borrow_mut().closed += 1,
+                Err(_) => met.borrow_mut().silent += 1,
+            }
+            break;
+        }
+        sleep(Duration::from_millis(1)).await;
+    }
+}
+
+/// Three processes are restarted in turn, each just after a SIGHUP has moved it to another discovery, whose list takes
+/// half of the hosts out and brings others. Charges go on throughout.
+#[test]
+fn a_fleet_rolls_while_hosts_are_replaced_and_discovery_moves() {
+    run(async {
+        let ledger = Ledger::default();
+        let mut hosts = Vec::new();
+        for number in 0..4 {
+            let plan = Plan { service: Duration::from_millis(6), ..Plan::default() };
+            hosts.push(Host::planned(&format!("s-{number}"), number, plan, &ledger).await);
+        }
+        let (stop, met) = (Rc::new(Cell::new(false)), Rc::new(RefCell::new(Met::default())));
+        let (old, mut fleet, mut customers) = (Discovery::quiet().await, Vec::new(), Vec::new());
+        for number in 1..=3 {
+            let address = format!("127.77.1.{number}:7001");
+            fleet.push(Daemon::start(&address, &at(&address, &old, &hosts[..2])).await);
+            for _ in 0..4 {
+                customers.push(spawn_local(customer(address.clone(), stop.clone(), met.clone())));
+            }
+        }
+        // The first two hosts go; `s-0` and `s-1` are the known ones' names.
+        let change: Vec<_> = (0..4)
+            .map(|n| {
+                let health = if n < 2 { "Terminating" } else { "Ready" };
+                entry(&format!("s-{n}"), hosts[n].address, health)
+            })
+            .collect();
+        let line = chunk(&list(50, true, &change));
+        let mut told = Instant::now();
+        for daemon in &mut fleet {
+            sleep(Duration::from_millis(100)).await;
+            let (moved, next) = (Discovery::quiet().await, Discovery::quiet().await);
+            daemon.reload(&at(&daemon.address, &moved, &hosts[..2]));
+            eventually("the new watch is open", || !moved.asked.borrow().is_empty()).await;
+            moved.push(&line).await;
+            told = Instant::now();
+            daemon.signal("-TERM");
+            daemon.ended().await;
+            let address = daemon.address.clone();
+            // It begins with the old list, and is told at once what has become of it.
+            *daemon = Daemon::start(&address, &at(&address, &next, &hosts[..2])).await;
+            eventually("it watches", || !next.asked.borrow().is_empty()).await;
+            next.push(&line).await;
+            told = told.max(Instant::now());
+        }
+        sleep(Duration::from_millis(400)).await;
+        let drained = told + Duration::from_secs(1);
+        tokio::time::sleep_until(drained).await;
+        let before: usize = hosts[..2].iter().map(Host::count).sum();
+        sleep(Duration::from_millis(300)).await;
+        stop.set(true);
+        for customer in customers {
+            customer.await.expect("it ended well");
+        }
+        assert_eq!(hosts[..2].iter().map(Host::count).sum::<usize>(), before, "a drained host got more");
+        assert_eq!(ledger.twice(Duration::from_secs(9)), [], "a charge ran twice");
+        let met = met.borrow();
+        let all = met.served + met.other + met.closed + met.silent;
+        assert_eq!(met.silent, 0, "of {all}");
+        assert!(met.closed * 200 <= all, "{} of {all} new connections closed without an answer", met.closed);
+        assert!(met.served * 100 >= all * 97 && all > 300, "{} of {all} served", met.served);
+        assert!(ledger.len() >= met.served, "{} ran of {}", ledger.len(), met.served);
+    });
+}
+
+/// The file still lists the host that drains: reading it again does not bring it back, and the call that is out there
+/// ends.
+#[test]
+fn a_sighup_during_a_drain_brings_nothing_back() {
+    run(async {
+        let (host, other) = (Host::start([Act::Stall, ok("old")]).await, Host::start([ok("other")]).await);
+        let (old, new) = (Discovery::quiet().await, Discovery::quiet().await);
+        let address = "127.77.2.1:7001";
+        let known = [host.clone()];
+        let daemon = Daemon::start(address, &at(address, &old, &known)).await;
+        eventually("it watches", || !old.asked.borrow().is_empty()).await;
+        let mut out = daemon.client().await;
+        out.send(&request("unsafe", "", "")).await;
+        eventually("the host has it", || host.count() == 1).await;
+        let hosts = [entry("s-0", host.address, "Terminating"), entry("s-1", other.address, "Ready")];
+        old.push(&chunk(&list(50, true, &hosts))).await;
+        // One engine: it has heard of it once a request goes to the other.
+        while daemon.client().await.ask(&request("free", "", "")).await.body != b"other" {}
+        let before = host.count();
+        daemon.reload(&at(address, &new, &known));
+        eventually("the new watch is open", || !new.asked.borrow().is_empty()).await;
+        assert_eq!(new.asked.borrow()[0], "GET /catalog/members?follow=1&since=50 HTTP/1.1");
+        for _ in 0..20 {
+            assert_eq!(daemon.client().await.ask(&request("free", "", "")).await.body, b"other");
+        }
+        assert_eq!(host.count(), before, "the file's list is older than what was told");
+        host.release.notify_one();
+        assert_eq!(out.message().await.expect("an answer").body, b"released");
+    });
+}
+
+/// In either order, with nothing between: what was taken is answered, new connections find a server for as long as they
+/// may come, and the process ends well.
+#[test]
+fn a_sigterm_beside_a_sighup_answers_what_was_taken() {
+    run(async {
+        for (number, signals) in [["-HUP", "-TERM"], ["-TERM", "-HUP"]].iter().enumerate() {
+            let host = Host::start([Act::Stall, ok("served")]).await;
+            let (old, new) = (Discovery::quiet().await, Discovery::quiet().await);
+            let address = format!("127.77.3.{}:7001", number + 1);
+            let known = [host.clone()];
+            let mut daemon = Daemon::start(&address, &at(&address, &old, &known)).await;
+            let mut out = daemon.client().await;
+            out.send(&request("unsafe", "", "")).await;
+            eventually("the host has it", || host.count() == 1).await;
+            std::fs::write(&daemon.config, at(&address, &new, &known)).expect("written");
+            for signal in signals {
+                daemon.signal(signal);
+            }
+            let answer = daemon.client().await.ask(&request("unsafe", "", "")).await;
+            assert_eq!(answer.body, b"served", "{signals:?}: a connection that comes after the signals");
+            host.release.notify_one();
+            assert_eq!(out.message().await.expect("an answer").body, b"released", "{signals:?}");
+            daemon.ended().await;
+        }
+    });
+}
