Keep to fewer servers where connections are refused, and widen again when none are

Need: how many connections a host takes is told nowhere; thin proxies kept to eight hosts whatever was refused. At fault: window() in policy/src/balance.rs, whose least was fixed at eight. Change: policy/src/balance/window.rs: each connection that does not come up narrows the least window by one, to two at the least, and that is forgotten over 20 s.

--- a/lab/tests/standing.rs
+++ b/lab/tests/standing.rs
@@ -85,6 +85,13 @@
     assert!(served > 0.99, "{served}");
 }
 
+/// There are 6,000 places for connections, and a thousand that would keep eight each: they learn to keep fewer.
+#[test]
+fn a_thousand_proxies_share_the_places_that_there_are() {
+    let outcome = calm(1_000, 30);
+    assert!(served(&outcome, 2..6) > 0.95, "{}", served(&outcome, 2..6));
+}
+
 /// Without a list from before a thousand proxies have nothing to go by, and their clients are there at once.
 #[test]
 fn a_thousand_that_start_without_a_list_serve_within_two_seconds() {
--- a/policy/src/balance.rs
+++ b/policy/src/balance.rs
@@ -14,6 +14,7 @@
 mod ask;
 mod cold;
 mod shared;
+mod window;
 
 // Constants. Spans are ratios to the settings' aims or to observed answer times.
 
@@ -55,10 +56,6 @@
 const COST_MEMORY: f64 = 4e6;
 /// How much less often the dearer of two is chosen: by this power of what a call costs there.
 const COST_POWER: i32 = 6;
-/// Servers that a shared budget's calls go to at the least, and the mean in flight at each beyond which more:
-/// about one connection that is used half the time. Else each opens one nearly everywhere, to use it seldom.
-const WINDOW_LEAST: usize = 8;
-const WINDOW_BUSY: f64 = 0.5;
 /// Doublings of a zone's backoff up to a server's first: one failed connection says little of a zone.
 const ZONE_DOUBLINGS: u32 = 3;
 
@@ -237,6 +234,7 @@
     timer_at: Micros,
     ask_at: Micros,
     ask_failures: u32,
+    narrowed: window::Narrowed,
 }
 
 impl Balancer {
@@ -261,6 +259,7 @@
             timer_at: Micros::MAX,
             ask_at: Micros::MAX,
             ask_failures: 0,
+            narrowed: window::Narrowed::default(),
         }
     }
 
@@ -491,7 +490,7 @@
         let Attempt { server: id, zone, started, class_id, sent, trial, .. } = tried;
         let elapsed = took.max(now.saturating_sub(sent));
         let (first, longest, longest_aim) = (self.first_backoff(), self.longest_usual(), self.longest_aim());
-        let per = self.window() as f64;
+        let per = self.window(now) as f64;
         let usual = self.usual(class_id, self.settings.classes.get(class_id).map_or(0, |c| c.aim));
         let pace = self.paces.get_mut(class_id);
         let aim = self.settings.classes.get(class_id).map_or(f64::MAX, |c| c.aim as f64);
@@ -530,6 +529,9 @@
         } else if !outcome.says_nothing() {
             *cut = (0, 0);
         }
+        if outcome == Outcome::NoConnection {
+            self.narrowed.refused(now);
+        }
         let Ok(place) = self.servers.binary_search_by_key(&id, |s| s.id) else { return };
         let server = &mut self.servers[place];
         if server.started != started {
@@ -710,7 +712,7 @@
         let ring = || (start..start + len).map(|i| i % len).filter(|&i| allowed(i, &self.servers[i]));
         let fresh = ring().any(|i| call.untried(self.servers[i].id));
         let untried = ring().filter(|&i| !fresh || call.untried(self.servers[i].id));
-        let up: Vec<usize> = untried.clone().take(self.window()).collect();
+        let up: Vec<usize> = untried.clone().take(self.window(now)).collect();
         let of =
             |room: &dyn Fn(&Server) -> bool| up.iter().copied().filter(|&i| room(&self.servers[i])).collect();
         let (mut room, trials): (Vec<_>, Vec<_>) = (of(&|s| !s.full(now, rules)), of(&ready));
@@ -737,13 +739,6 @@
         }
     }
 
-    /// How many servers calls are spread over: a thin balancer that went to all would open a connection for
-    /// nearly every call, past what servers accept, and would learn of none of them.
-    fn window(&self) -> usize {
-        let busy = self.pool.as_ref().map_or(f64::MAX, |p| p.used / WINDOW_BUSY);
-        (busy as usize).max(WINDOW_LEAST).min(self.servers.len())
-    }
-
     /// The less loaded of two random ones by own calls in flight, strain breaking ties; where budgets are
     /// shared, the one that costs less, mostly.
     fn two_choices(&mut self, now: Micros, among: &[usize]) -> Option<usize> {
--- a/policy/tests/mechanism.rs
+++ b/policy/tests/mechanism.rs
@@ -311,6 +311,33 @@
     assert!(many >= 45, "a busy one spreads its calls over nearly all: {many}");
 }
 
+/// How many servers two hundred calls of one balancer of a hundred go to after a pause, where the connections of so many calls
+/// before were refused.
+fn met_after(refused: usize, pause: Micros) -> usize {
+    let limits = Limits { max_attempts: 1, ..Settings::default().limits };
+    let mut proxy = Proxy::new(Settings { balancers: 100, limits, ..settings(Repeat::Free) }, 60);
+    (0..20).for_each(|_| drop((proxy.wait(200 * MS), proxy.serve(20 * MS))));
+    for _ in 0..refused {
+        proxy.now += 200 * MS;
+        let (call, actions) = proxy.call();
+        if !sent(&actions).is_empty() {
+            proxy.end(call, 0, Outcome::NoConnection, MS);
+        }
+    }
+    proxy.now += pause;
+    // Those that were set aside are tried first, one call each.
+    (0..60).for_each(|_| drop((proxy.wait(30 * MS), proxy.serve(20 * MS))));
+    let met: BTreeSet<_> = (0..200).filter_map(|_| (proxy.wait(10 * MS), proxy.serve(20 * MS)).1).collect();
+    met.len()
+}
+
+#[test]
+fn a_balancer_whose_connections_are_refused_keeps_to_fewer_servers_for_a_while() {
+    assert_eq!(met_after(0, 2_000 * MS), 8, "as many as a thin one has");
+    assert!(met_after(12, 2_000 * MS) <= 6, "{} of eight", met_after(12, 2_000 * MS));
+    assert_eq!(met_after(12, 120_000 * MS), 8, "there may be room again");
+}
+
 #[test]
 fn a_window_moves_past_servers_that_are_down() {
     let mut proxy = Proxy::new(Settings { balancers: 100, ..settings(Repeat::Free) }, 50);
--- a/policy/tests/tree.rs
+++ b/policy/tests/tree.rs
@@ -9,6 +9,7 @@
         "src/balance/ask.rs",
         "src/balance/cold.rs",
         "src/balance/shared.rs",
+        "src/balance/window.rs",
         "src/budget.rs",
     ]
     .map(|name| {
