--- a/lab/tests/standing.rs
+++ b/lab/tests/standing.rs
@@ -9,7 +9,7 @@
 use nettleworks_lab::scenario::Scenario;
 use std::path::Path;
 
-const DAYS: [&str; 7] = ["calm", "roll", "herd", "zone", "split", "join", "soak"];
+const DAYS: [&str; 8] = ["calm", "roll", "herd", "zone", "zone-release", "split", "join", "soak"];
 
 fn day(name: &str) -> Scenario {
     let path = Path::new(env!("CARGO_MANIFEST_DIR")).join(format!("scenarios/standing/standing-{name}.toml"));
@@ -116,3 +116,28 @@
     assert!(outcome.tally.watches <= 600, "{} asks", outcome.tally.watches);
     assert!(served(&outcome, 10..14) > 0.93, "{}", served(&outcome, 10..14));
 }
+
+/// At full size until so many seconds.
+fn until(name: &str, seconds: f64) -> Outcome {
+    let mut day = day(name);
+    day.seconds = seconds;
+    // Those that come later are not there.
+    day.faults.retain(|fault| fault.at.is_none_or(|at| at < seconds));
+    sound(&day, 1, Depth::Fleet)
+}
+
+/// Each proxy meets its hosts seldom, and a third of them is silent while others drain.
+#[test]
+fn a_zone_lost_while_a_release_runs_costs_little_beside_its_own_calls() {
+    let outcome = until("zone-release", 13.0);
+    let lost = served(&outcome, 7..12);
+    assert!(lost > 0.94, "{lost}");
+}
+
+/// Most of the hosts that a proxy has met are gone within 7 s, and one in five of the new ones fails.
+#[test]
+fn six_in_ten_replaced_with_some_bad_leave_most_calls_served() {
+    let outcome = until("join", 14.0);
+    let during = served(&outcome, 5..13);
+    assert!(during > 0.9, "{during}");
+}
