Ask soon after a watch fell silent: many proxies waited up to four seconds more

Cause: a silent watch was told to the module as any failed one (engine/src/driver/members.rs, ListKind::Failed), and ask_again (policy/src/balance/ask.rs) drew the next ask from 1.4 to 4.2 s later, as 300 balancers are 18 times sixteen: noticed at 5 s + 4.2 s is past 6 s + 1 s. Ruled out: the time to notice it (5 s at most after the last heartbeat), and pushed lists, whose retry is 1 s.

Change: a watch that was open and fell silent is told apart (End::Silent, ListKind::Silent); the module asks within 0.45 s, and where that fails as after any failed call. A pushed one is opened again at once. The lab plays the same.

--- a/adapter/src/main.rs
+++ b/adapter/src/main.rs
@@ -107,7 +107,7 @@
                     other => return Err(format!("MEMBERS with unknown scope {other}")),
                 };
                 let entries: Vec<Entry> = match kind {
-                    ListKind::Failed => Vec::new(),
+                    ListKind::Failed | ListKind::Silent => Vec::new(),
                     _ => {
                         let list = need(input.roster_id, verb, "roster_id")?;
                         let list =
--- a/engine/src/discovery.rs
+++ b/engine/src/discovery.rs
@@ -16,12 +16,20 @@
 /// Longest line of a watch; a longer one is not a list of any fleet that one proxy serves.
 const LINE_MOST: usize = 4 << 20;
 
-/// Watches the list from version `since` on and passes on what comes, until the watch ends. It returns why:
-/// the connection broke or ended, the answer was not 200, a line was bad, or nothing came for too long.
-pub async fn watch(discovery: SocketAddr, since: Option<u64>, mut news: impl FnMut(List)) -> BoxError {
+/// How a watch ended.
+#[derive(Debug)]
+pub enum End {
+    /// It was open, and nothing came for too long: it is not known since when it tells nothing.
+    Silent,
+    /// The connection broke or ended or never came up, the answer was not 200 or did not come, or a line was bad.
+    Failed(BoxError),
+}
+
+/// Watches the list from version `since` on and passes on what comes, until the watch ends. It returns how.
+pub async fn watch(discovery: SocketAddr, since: Option<u64>, mut news: impl FnMut(List)) -> End {
     match follow(discovery, since, &mut news).await {
-        Ok(()) => "the watch ended".into(),
-        Err(reason) => reason,
+        Ok(end) => end,
+        Err(reason) => End::Failed(reason),
     }
 }
 
@@ -29,7 +37,7 @@
     discovery: SocketAddr,
     since: Option<u64>,
     news: &mut impl FnMut(List),
-) -> Result<(), BoxError> {
+) -> Result<End, BoxError> {
     let stream = timeout(SILENCE, dial(discovery)).await??;
     let (mut sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await?;
     let _connection = task::spawn(connection);
@@ -43,7 +51,9 @@
     }
     let mut body = response.into_body();
     let mut pending = Vec::new();
-    while let Some(frame) = timeout(SILENCE, body.frame()).await? {
+    loop {
+        let Ok(frame) = timeout(SILENCE, body.frame()).await else { return Ok(End::Silent) };
+        let Some(frame) = frame else { return Ok(End::Failed("the watch ended".into())) };
         let Ok(data) = frame?.into_data() else { continue };
         for piece in data.split_inclusive(|&byte| byte == b'\n') {
             if pending.len() + piece.len() > LINE_MOST {
@@ -58,5 +68,4 @@
             }
         }
     }
-    Ok(())
 }
--- a/engine/src/driver/members.rs
+++ b/engine/src/driver/members.rs
@@ -1,7 +1,7 @@
 //! The hosts of the list, and the watch that brings it.
 
 use super::{Driver, Handle};
-use crate::discovery;
+use crate::discovery::{self, End};
 use crate::list::{self, Health, List};
 use crate::mutant::{self, Mutant};
 use crate::protocol::{Protocol, Target};
@@ -12,7 +12,8 @@
 use std::time::Duration;
 use tokio::task::spawn_local;
 
-/// Where the list is pushed the module never asks for it: a watch that ended is opened again after this.
+/// Where the list is pushed the module never asks for it: a watch that ended is opened again after this; one that fell
+/// silent at once, as what it hid counts as told a second after that is noticed.
 const PUSH_RETRY: Duration = Duration::from_secs(1);
 
 /// Where a list comes from.
@@ -159,15 +160,24 @@
         let watch = self.watches;
         // The task of the last watch, if there is one, ends here.
         self.watch = Some(task::spawn(async move {
-            let reason =
+            let end =
                 discovery::watch(discovery, since, |list| handle.members(list, Source::Watch(watch))).await;
             if handle.0.borrow().watches != watch {
                 return;
             }
-            handle.log(&format!("discovery: {reason}"));
-            handle.run([Event::Members { kind: ListKind::Failed, entries: Vec::new() }]);
+            let (kind, retry) = match end {
+                End::Silent => {
+                    handle.log("discovery: the watch fell silent");
+                    (ListKind::Silent, Duration::ZERO)
+                }
+                End::Failed(reason) => {
+                    handle.log(&format!("discovery: {reason}"));
+                    (ListKind::Failed, PUSH_RETRY)
+                }
+            };
+            handle.run([Event::Members { kind, entries: Vec::new() }]);
             if pushed {
-                tokio::time::sleep(PUSH_RETRY).await;
+                tokio::time::sleep(retry).await;
                 handle.0.borrow_mut().subscribe(&handle);
             }
         }));
--- a/lab/src/baseline/mod.rs
+++ b/lab/src/baseline/mod.rs
@@ -227,7 +227,7 @@
         match event {
             Event::Start if self.settings.ask => actions.push(Action::Subscribe),
             // Where the list is pushed, whoever carries this watches again by itself.
-            Event::Members { kind: ListKind::Failed, .. } => {
+            Event::Members { kind: ListKind::Failed | ListKind::Silent, .. } => {
                 self.subscribe_at = self.settings.ask.then_some(now + ASK_AGAIN);
             }
             Event::Members { kind, entries } => {
--- a/lab/src/fleet/mod.rs
+++ b/lab/src/fleet/mod.rs
@@ -53,6 +53,7 @@
     Opens,
     Begins,
     Hears,
+    Silent,
     Fails,
     Retries,
 }
--- a/lab/src/fleet/proxy.rs
+++ b/lab/src/fleet/proxy.rs
@@ -11,7 +11,7 @@
 
 /// A watch that is silent for so long is taken for dead, as in the engine.
 const SILENCE: Micros = 5_000_000;
-/// Where the list is pushed, a watch that has ended is opened again after this, as in the engine.
+/// Where the list is pushed, a watch that has ended is opened again after this, and a silent one at once, as in the engine.
 const PUSH_RETRY: Micros = 1_000_000;
 
 /// A call on its way.
@@ -132,11 +132,15 @@
                     self.hears(proxy, &news);
                 }
             }
-            Watch::Fails => {
+            Watch::Fails | Watch::Silent => {
                 self.proxies[proxy].hears = false;
-                self.module(proxy, Event::Members { kind: ListKind::Failed, entries: Vec::new() });
+                let (kind, retry) = match what {
+                    Watch::Silent => (ListKind::Silent, 0),
+                    _ => (ListKind::Failed, PUSH_RETRY),
+                };
+                self.module(proxy, Event::Members { kind, entries: Vec::new() });
                 if !self.model.scenario.discovery.asked {
-                    self.put_watch(proxy, PUSH_RETRY, Watch::Retries);
+                    self.put_watch(proxy, retry, Watch::Retries);
                 }
             }
             Watch::Retries => self.subscribe(proxy),
@@ -162,7 +166,7 @@
                 (true, _) => self.put_watch(proxy, after, Watch::Fails),
                 (_, true) => {
                     self.proxies[proxy].hears = false;
-                    self.put_watch(proxy, SILENCE, Watch::Fails);
+                    self.put_watch(proxy, SILENCE, Watch::Silent);
                 }
                 _ => self.put_watch(proxy, after, Watch::Hears),
             }
--- a/policy/src/api.rs
+++ b/policy/src/api.rs
@@ -209,6 +209,8 @@
     Cached,
     /// None: asking failed or the subscription broke.
     Failed,
+    /// None: the subscription fell silent. What it misses will count as told soon.
+    Silent,
 }
 
 /// How an attempt ended.
--- a/policy/src/balance.rs
+++ b/policy/src/balance.rs
@@ -339,8 +339,8 @@
     // The list.
 
     fn members(&mut self, now: Micros, kind: ListKind, entries: &[Entry]) {
-        if kind == ListKind::Failed {
-            return self.ask_again(now);
+        if matches!(kind, ListKind::Failed | ListKind::Silent) {
+            return self.ask_again(now, kind);
         }
         // News prove that asking works again, whoever asked.
         if kind != ListKind::Cached {
--- a/policy/src/balance/ask.rs
+++ b/policy/src/balance/ask.rs
@@ -4,7 +4,7 @@
 //! watches at one moment and ask again within one short pause keep each other from being answered for good.
 
 use super::{Actions, Balancer};
-use crate::api::{Action, Micros};
+use crate::api::{Action, ListKind, Micros};
 
 /// Balancers that may ask within the first pause: more take so many times as long.
 const ASK_TOGETHER: u32 = 16;
@@ -13,6 +13,8 @@
 /// Doublings of the pause, and its most in those times: half of what is allowed after a failed call.
 const ASK_DOUBLINGS: u32 = 3;
 const ASK_MOST: u64 = 2;
+/// The same, in microseconds, after silence: what it hid counts as told a second after it is noticed.
+const ASK_SILENT: Micros = 300_000;
 
 impl Balancer {
     /// At the start: a whole fleet may start in one moment, and each may have a list from before.
@@ -33,8 +35,8 @@
     }
 
     /// After a call that has failed, or a watch that has ended.
-    pub(super) fn ask_again(&mut self, now: Micros) {
-        let pause = self.ask_pause();
+    pub(super) fn ask_again(&mut self, now: Micros, why: ListKind) {
+        let pause = self.ask_pause().min(if why == ListKind::Silent { ASK_SILENT } else { Micros::MAX });
         self.ask_failures += 1;
         if self.settings.ask {
             self.ask_at = now + pause / 2 + self.below(pause);
--- a/policy/tests/fleet.rs
+++ b/policy/tests/fleet.rs
@@ -91,6 +91,45 @@
     assert_eq!(discovery.without(), 0, "seventeen asks a second: six seconds would do for a hundred");
 }
 
+/// What a silent watch hides counts as told a second after the silence is noticed, and a host that drains may get nothing
+/// a second later.
+#[test]
+fn three_hundred_whose_watches_fall_silent_ask_within_half_a_second() {
+    let begin = 1_000_000;
+    let mut discovery = Discovery::new(300, 2 * MS);
+    discovery.until(begin, begin + 20_000 * MS);
+    assert_eq!(discovery.without(), 0);
+    discovery.listed.fill(false);
+    let noticed = begin + 20_000 * MS;
+    for proxy in 0..300 {
+        discovery.proxies[proxy].now = noticed;
+        let actions = discovery.proxies[proxy].list(ListKind::Silent, vec![]);
+        discovery.heed(noticed, proxy, &actions);
+    }
+    discovery.until(noticed, noticed + 500 * MS);
+    let asked = discovery.asks.iter().filter(|&&at| at >= noticed).count();
+    assert_eq!(asked, 300, "of three hundred in half a second");
+    discovery.until(noticed + 500 * MS, noticed + 1_000 * MS);
+    assert_eq!(discovery.without(), 0, "five hundred asks a second can be answered");
+}
+
+/// Where so many at once are too many, those that were not answered spread as after any call that failed.
+#[test]
+fn a_hundred_whose_watches_fall_silent_do_not_keep_the_list_from_each_other() {
+    let begin = 1_000_000;
+    let mut discovery = Discovery::new(100, 60 * MS);
+    discovery.until(begin, begin + 20_000 * MS);
+    discovery.listed.fill(false);
+    let noticed = begin + 20_000 * MS;
+    for proxy in 0..100 {
+        discovery.proxies[proxy].now = noticed;
+        let actions = discovery.proxies[proxy].list(ListKind::Silent, vec![]);
+        discovery.heed(noticed, proxy, &actions);
+    }
+    discovery.until(noticed, noticed + 20_000 * MS);
+    assert_eq!(discovery.without(), 0);
+}
+
 #[test]
 fn a_hundred_that_start_at_one_moment_ask_one_after_the_other() {
     let begin = 1_000_000;
--- a/proxy/tests/suite/discovery.rs
+++ b/proxy/tests/suite/discovery.rs
@@ -60,6 +60,26 @@
     });
 }
 
+/// What a silent watch hides counts as told six seconds after it fell silent, however many proxies there are that must
+/// not ask at one moment.
+#[test]
+fn one_of_many_opens_a_silent_watch_again_in_time() {
+    run(async {
+        let discovery = Discovery::quiet().await;
+        let _proxy = Proxy::with(&discovery, &[], |config| {
+            NONE(config);
+            config["settings"]["balancers"] = 300.into();
+            config["settings"]["invariants"]["ask_every_us"] = 5_000_000.into();
+        })
+        .await;
+        eventually("a watch", || discovery.asked.borrow().len() == 1).await;
+        let silent_from = tokio::time::Instant::now();
+        eventually("a second watch", || discovery.asked.borrow().len() == 2).await;
+        let took = silent_from.elapsed();
+        assert!(took < std::time::Duration::from_secs(6), "{took:?}");
+    });
+}
+
 /// A host that is gone gets nothing more, and idle connections to it are closed; one at its address under
 /// another name is another host.
 #[test]
