--- /dev/null
+++ b/members/src/probe.rs
@@ -0,0 +1,151 @@
+//! Who is asked next, and the question that is out.
+
+use crate::claim::Incarnation;
+use crate::name::Name;
+use crate::Micros;
+use rand::{Rng, RngExt};
+
+/// The others that may be there, in an order that is drawn anew after each round: each is asked once in it, and one that
+/// joins has a place at random. So a dead one is found within two rounds for sure, and after 1.6 periods in the mean.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Order {
+    names: Vec<Name>,
+    at: usize,
+}
+
+impl Order {
+    pub fn len(&self) -> usize {
+        self.names.len()
+    }
+
+    pub fn insert(&mut self, name: Name, draws: &mut impl Rng) {
+        let place = draws.random_range(0..=self.names.len());
+        self.names.insert(place, name);
+        if place < self.at {
+            self.at += 1;
+        }
+    }
+
+    pub fn remove(&mut self, name: &Name) {
+        if let Some(place) = self.names.iter().position(|known| known == name) {
+            self.names.remove(place);
+            if place < self.at {
+                self.at -= 1;
+            }
+        }
+    }
+
+    pub fn next(&mut self, draws: &mut impl Rng) -> Option<Name> {
+        if self.at >= self.names.len() {
+            self.at = 0;
+            for last in (1..self.names.len()).rev() {
+                let other = draws.random_range(0..=last);
+                self.names.swap(last, other);
+            }
+        }
+        let name = self.names.get(self.at).cloned();
+        self.at += 1;
+        name
+    }
+
+    /// Up to `count` different ones at random, those that do not pass left out.
+    pub fn pick(&self, count: usize, draws: &mut impl Rng, passes: impl Fn(&Name) -> bool) -> Vec<Name> {
+        let mut picked: Vec<Name> = Vec::with_capacity(count);
+        if self.names.is_empty() {
+            return picked;
+        }
+        // From a random place on, in steps that visit each place once: as good as drawn one by one where the order itself
+        // is drawn, and it ends.
+        let start = draws.random_range(0..self.names.len());
+        let stride = match self.names.len() {
+            len if len > 8 => {
+                let first = draws.random_range(1..len);
+                (first..len).chain(1..first).find(|step| coprime(*step, len)).unwrap_or(1)
+            }
+            _ => 1,
+        };
+        for step in 0..self.names.len() {
+            if picked.len() == count {
+                break;
+            }
+            let name = &self.names[(start + step * stride) % self.names.len()];
+            if passes(name) {
+                picked.push(name.clone());
+            }
+        }
+        picked
+    }
+}
+
+fn coprime(mut a: usize, mut b: usize) -> bool {
+    while b > 0 {
+        (a, b) = (b, a % b);
+    }
+    a == 1
+}
+
+/// The question that is out in this period.
+#[derive(Clone, Debug)]
+pub(crate) struct Probe {
+    pub number: u32,
+    pub target: Name,
+    pub incarnation: Incarnation,
+    /// When others are asked to ask; `None`: they were.
+    pub helped_at: Option<Micros>,
+    /// When the period ends.
+    pub ends: Micros,
+    pub answered: bool,
+    /// How many others were asked, and how many said that they have no answer either.
+    pub helpers: u32,
+    pub nacks: u32,
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rand::SeedableRng;
+    use rand_pcg::Pcg64;
+    use std::collections::BTreeSet;
+
+    fn name(number: usize) -> Name {
+        Name::new(&format!("m-{number}")).expect("a name")
+    }
+
+    #[test]
+    fn each_is_asked_once_a_round_whoever_joins_and_goes() {
+        let mut draws = Pcg64::seed_from_u64(3);
+        let mut order = Order::default();
+        (0..20).for_each(|number| order.insert(name(number), &mut draws));
+        let mut gaps = vec![0usize; 20];
+        for turn in 0..200 {
+            // One comes and goes beside them.
+            match turn % 7 {
+                0 => order.insert(name(99), &mut draws),
+                3 => order.remove(&name(99)),
+                _ => {}
+            }
+            let asked = order.next(&mut draws);
+            gaps.iter_mut().for_each(|gap| *gap += 1);
+            if let Some(at) = (0..20).find(|number| asked == Some(name(*number))) {
+                gaps[at] = 0;
+            }
+            assert!(gaps.iter().all(|gap| *gap <= 2 * 21), "{gaps:?}");
+        }
+    }
+
+    #[test]
+    fn picks_are_different_pass_and_reach_everyone() {
+        let mut draws = Pcg64::seed_from_u64(3);
+        let mut order = Order::default();
+        (0..30).for_each(|number| order.insert(name(number), &mut draws));
+        let mut seen = BTreeSet::new();
+        for _ in 0..200 {
+            let picked = order.pick(3, &mut draws, |picked| *picked != name(7));
+            let different: BTreeSet<_> = picked.iter().collect();
+            assert_eq!(different.len(), 3);
+            seen.extend(picked);
+        }
+        assert_eq!(seen.len(), 29);
+        assert_eq!(order.pick(40, &mut draws, |_| true).len(), 30);
+    }
+}
--- /dev/null
+++ b/members/src/roster.rs
@@ -0,0 +1,241 @@
+//! The list: who is known, in which life, and in which condition.
+
+use crate::claim::{Card, Claim, Incarnation, Update};
+use crate::message::BUCKETS;
+use crate::name::Name;
+use crate::news::Flaps;
+use crate::suspicion::Suspicion;
+use crate::Micros;
+use std::collections::BTreeMap;
+use std::hash::Hasher;
+use twox_hash::XxHash64;
+
+/// In which condition a member is, in this process's opinion.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Condition {
+    /// Nothing speaks against it.
+    Alive,
+    /// It did not answer somebody.
+    Suspected,
+    /// It counts as failed.
+    Failed,
+    /// It has gone of itself.
+    Left,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum State {
+    Alive,
+    Suspect(Suspicion),
+    Failed,
+    Left,
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct Entry {
+    pub card: Card,
+    pub incarnation: Incarnation,
+    pub state: State,
+    /// When it came to be in this condition.
+    pub since: Micros,
+    /// When it last answered this process, itself or by a helper.
+    pub acked: Option<Micros>,
+    pub flaps: Flaps,
+}
+
+impl Entry {
+    pub fn new(card: Card, incarnation: Incarnation, now: Micros) -> Entry {
+        Entry { card, incarnation, state: State::Alive, since: now, acked: None, flaps: Flaps::default() }
+    }
+
+    pub fn condition(&self) -> Condition {
+        match self.state {
+            State::Alive => Condition::Alive,
+            State::Suspect(_) => Condition::Suspected,
+            State::Failed => Condition::Failed,
+            State::Left => Condition::Left,
+        }
+    }
+
+    /// Whether it may be there.
+    pub fn is_live(&self) -> bool {
+        matches!(self.state, State::Alive | State::Suspect(_))
+    }
+
+    /// What is said of it.
+    pub fn update(&self, name: &Name) -> Update {
+        let claim = match &self.state {
+            State::Alive => Claim::Alive(self.card.clone()),
+            State::Suspect(suspicion) => Claim::Suspect { by: suspicion.by()[0].clone() },
+            State::Failed => Claim::Failed,
+            State::Left => Claim::Left,
+        };
+        Update { name: name.clone(), incarnation: self.incarnation, claim }
+    }
+}
+
+/// All that are known, this process among them. What its live entries come to is kept beside it, part by part, so that
+/// two lists are compared without being walked.
+#[derive(Clone, Debug)]
+pub(crate) struct Roster {
+    entries: BTreeMap<Name, Entry>,
+    parts: [u64; BUCKETS],
+    live: usize,
+    most: usize,
+}
+
+fn hash(name: &Name, incarnation: Incarnation) -> u64 {
+    let mut hasher = XxHash64::with_seed(1);
+    hasher.write(name.as_str().as_bytes());
+    hasher.write_u64(incarnation.start);
+    hasher.write_u32(incarnation.round);
+    hasher.finish()
+}
+
+/// In which part of the list a name is.
+pub(crate) fn part(name: &Name) -> usize {
+    let mut hasher = XxHash64::with_seed(2);
+    hasher.write(name.as_str().as_bytes());
+    (hasher.finish() % BUCKETS as u64) as usize
+}
+
+impl Roster {
+    pub fn new(most: usize) -> Roster {
+        Roster { entries: BTreeMap::new(), parts: [0; BUCKETS], live: 0, most }
+    }
+
+    pub fn get(&self, name: &Name) -> Option<&Entry> {
+        self.entries.get(name)
+    }
+
+    pub fn iter(&self) -> impl Iterator<Item = (&Name, &Entry)> {
+        self.entries.iter()
+    }
+
+    /// How many may be there, this process among them.
+    pub fn live(&self) -> usize {
+        self.live
+    }
+
+    /// What it comes to, part by part. Whoever has failed or left does not count: it is forgotten sooner here than there.
+    pub fn parts(&self) -> &[u64; BUCKETS] {
+        &self.parts
+    }
+
+    /// The same in one number.
+    pub fn digest(&self) -> u64 {
+        let mut hasher = XxHash64::with_seed(3);
+        self.parts.iter().for_each(|part| hasher.write_u64(*part));
+        hasher.finish()
+    }
+
+    /// The entries of a part.
+    pub fn of_part(&self, which: usize) -> impl Iterator<Item = (&Name, &Entry)> {
+        self.entries.iter().filter(move |(name, _)| part(name) == which)
+    }
+
+    /// One more. Where the list is full, the one that has failed or left longest ago makes way, and is given back;
+    /// `Err`: there is none.
+    pub fn insert(&mut self, name: Name, entry: Entry) -> Result<Option<Name>, ()> {
+        let mut gone = None;
+        if self.entries.len() >= self.most {
+            let oldest = self.entries.iter().filter(|(_, entry)| !entry.is_live());
+            let oldest = oldest.min_by_key(|(_, entry)| entry.since).map(|(name, _)| name.clone());
+            let oldest = oldest.ok_or(())?;
+            self.remove(&oldest);
+            gone = Some(oldest);
+        }
+        self.count(&name, &entry);
+        self.entries.insert(name, entry);
+        Ok(gone)
+    }
+
+    pub fn remove(&mut self, name: &Name) {
+        if let Some(entry) = self.entries.remove(name) {
+            self.uncount(name, &entry);
+        }
+    }
+
+    /// Changes an entry; nothing where there is none.
+    pub fn change<T>(&mut self, name: &Name, change: impl FnOnce(&mut Entry) -> T) -> Option<T> {
+        let mut entry = self.entries.remove(name)?;
+        self.uncount(name, &entry);
+        let given = change(&mut entry);
+        self.count(name, &entry);
+        self.entries.insert(name.clone(), entry);
+        Some(given)
+    }
+
+    /// For what does not tell in the digest.
+    pub fn touch(&mut self, name: &Name) -> Option<&mut Entry> {
+        self.entries.get_mut(name)
+    }
+
+    fn count(&mut self, name: &Name, entry: &Entry) {
+        if entry.is_live() {
+            self.parts[part(name)] ^= hash(name, entry.incarnation);
+            self.live += 1;
+        }
+    }
+
+    fn uncount(&mut self, name: &Name, entry: &Entry) {
+        if entry.is_live() {
+            self.parts[part(name)] ^= hash(name, entry.incarnation);
+            self.live -= 1;
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    fn name(number: u8) -> Name {
+        Name::new(&format!("m-{number}")).expect("a name")
+    }
+
+    fn entry(start: u64) -> Entry {
+        Entry::new(Card::at("127.0.0.1:1".parse().expect("an address")), Incarnation::starting(start), start)
+    }
+
+    proptest! {
+        /// Whatever was done on the way, equal lists come to equal parts and unequal ones do not.
+        #[test]
+        fn digests_tell_lists_apart(steps in proptest::collection::vec((0u8..12, 0u8..4, 1u64..4), 1..60)) {
+            let mut roster = Roster::new(64);
+            for (number, act, start) in steps {
+                let name = name(number);
+                match act {
+                    0 => drop(roster.get(&name).is_none().then(|| roster.insert(name, entry(start)))),
+                    1 => roster.remove(&name),
+                    2 => drop(roster.change(&name, |entry| entry.state = State::Failed)),
+                    _ => drop(roster.change(&name, |entry| entry.incarnation.round += 1)),
+                }
+            }
+            let mut again = Roster::new(64);
+            for (name, entry) in roster.iter() {
+                prop_assert!(again.insert(name.clone(), entry.clone()).is_ok());
+            }
+            prop_assert_eq!(again.digest(), roster.digest());
+            prop_assert_eq!(again.live(), roster.iter().filter(|(_, entry)| entry.is_live()).count());
+            let live = roster.iter().find(|(_, entry)| entry.is_live()).map(|(name, _)| name.clone());
+            if let Some(live) = live {
+                again.change(&live, |entry| entry.incarnation.round += 1);
+                prop_assert_ne!(again.digest(), roster.digest());
+            }
+        }
+    }
+
+    #[test]
+    fn a_full_list_lets_those_that_are_gone_make_way_and_nobody_else() {
+        let mut roster = Roster::new(3);
+        for number in 0..3 {
+            assert_eq!(roster.insert(name(number), entry(1)), Ok(None));
+        }
+        assert_eq!(roster.insert(name(3), entry(1)), Err(()));
+        roster.change(&name(1), |entry| entry.state = State::Failed);
+        assert_eq!(roster.insert(name(3), entry(1)), Ok(Some(name(1))));
+        assert_eq!(roster.iter().count(), 3);
+    }
+}
--- /dev/null
+++ b/members/src/standing.rs
@@ -0,0 +1,56 @@
+//! Where a member stands among the others.
+
+use crate::roster::{Condition, Roster};
+
+/// Where this process stands, in its own opinion. It says what to expect and what to look at; what needs agreement is
+/// not decided by it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Standing {
+    /// It hears of all that it remembers.
+    Agreed,
+    /// Some do not answer, and it is not known yet whether they have failed.
+    Suspecting,
+    /// Some have failed; more than half of all that it remembers are there.
+    Reduced,
+    /// Half of all that it remembers, or fewer, are there: it may be the one that is cut off.
+    Minority,
+    /// Nobody else is there.
+    Alone,
+    /// Another process lives under its name: it says nothing to the others any more.
+    Replaced,
+}
+
+impl Standing {
+    /// Its name, in log and state.
+    pub fn name(self) -> &'static str {
+        match self {
+            Standing::Agreed => "agreed",
+            Standing::Suspecting => "suspecting",
+            Standing::Reduced => "reduced",
+            Standing::Minority => "minority",
+            Standing::Alone => "alone",
+            Standing::Replaced => "replaced",
+        }
+    }
+
+    /// By the list; whoever has left of itself does not count.
+    pub(crate) fn of(roster: &Roster) -> Standing {
+        let (mut alive, mut suspected, mut failed) = (0, 0, 0);
+        for (_, entry) in roster.iter() {
+            match entry.condition() {
+                Condition::Alive => alive += 1,
+                Condition::Suspected => suspected += 1,
+                Condition::Failed => failed += 1,
+                Condition::Left => {}
+            }
+        }
+        let all = alive + suspected + failed;
+        match () {
+            () if alive + suspected <= 1 => Standing::Alone,
+            () if 2 * alive <= all => Standing::Minority,
+            () if suspected > 0 => Standing::Suspecting,
+            () if failed > 0 => Standing::Reduced,
+            () => Standing::Agreed,
+        }
+    }
+}
--- /dev/null
+++ b/members/wire/tests/settings.rs
@@ -0,0 +1,62 @@
+//! Files of members, good and bad.
+
+use nettleworks_members_wire::Settings;
+use serde_json::{json, Value};
+
+fn file(change: impl FnOnce(&mut Value)) -> Result<Settings, String> {
+    let mut file = json!({"name": "kiosk-1", "listen": "127.0.0.1:7100", "seeds": ["127.0.0.1:7101"],
+                          "key_file": "members.key"});
+    change(&mut file);
+    Settings::parse(&file.to_string())
+}
+
+#[test]
+fn a_plain_file_is_good_and_paces_follow_its_period() {
+    let settings = file(|file| file["period_ms"] = 100.into()).expect("good");
+    let config = settings.config().expect("good");
+    assert_eq!((config.period, config.timeout, config.gossip_every), (100_000, 30_000, 20_000));
+    assert!(config.packet + nettleworks_members_wire::OVERHEAD_MOST <= 1_400);
+    assert_eq!(settings.card(settings.listen, "1.2").version, "1.2");
+}
+
+#[test]
+fn what_is_wrong_is_named_by_its_place() {
+    let cases: [(&str, Value, &str); 14] = [
+        ("name", "".into(), "name"),
+        ("name", "two words".into(), "name"),
+        ("listen", "nowhere".into(), "listen"),
+        ("listen", "0.0.0.0:7100".into(), "advertise"),
+        ("advertise", "0.0.0.0:7100".into(), "advertise"),
+        ("advertise", "127.0.0.1:0".into(), "advertise"),
+        ("seeds", vec!["127.0.0.1:1"; 65].into(), "seeds"),
+        ("seeds", json!(["x"]), "seeds[0]"),
+        ("zone", "a zone with far too long a name".into(), "zone"),
+        ("role", "a\u{7}".into(), "role"),
+        ("period_ms", 5.into(), "period"),
+        ("most", 1.into(), "most"),
+        ("sends_a_second", 1.into(), "sends"),
+        ("naem", "x".into(), "naem"),
+    ];
+    for (key, value, place) in cases {
+        let bad = file(|file| file[key] = value.clone());
+        let said = bad.expect_err(&format!("{key} = {value}"));
+        assert!(said.contains(place), "{key} = {value}: {said}");
+    }
+    for missing in ["name", "listen", "seeds", "key_file"] {
+        let bad = file(|file| drop(file.as_object_mut().expect("an object").remove(missing)));
+        assert!(bad.expect_err(missing).contains(missing));
+    }
+}
+
+#[test]
+fn a_key_that_is_not_there_too_short_or_too_long_is_refused() {
+    let folder = std::path::Path::new(env!("CARGO_TARGET_TMPDIR"));
+    let path = folder.join("key-of-settings");
+    let settings = file(|file| file["key_file"] = path.to_string_lossy().into()).expect("good");
+    let _ = std::fs::remove_file(&path);
+    assert!(settings.codec().expect_err("none").contains("key-of-settings"));
+    for (key, good) in [("short", false), ("  sixteen bytes....\n", true), (&"k".repeat(5_000), false)] {
+        std::fs::write(&path, key).expect("written");
+        assert_eq!(settings.codec().is_ok(), good, "{} bytes", key.len());
+    }
+}
