Members in the daemon, a command that shows them, and a crew of real processes with faults

The operators' socket is a module of its own now (proxy/src/control.rs), which keys and members share. crew/ starts real processes with a UDP relay before each: cut, loss, delay, doubles, reordering by pair and way; kill -9, SIGSTOP, restarts; one history.

--- /dev/null
+++ b/crew/src/process.rs
@@ -0,0 +1,129 @@
+//! One process of a crew.
+
+use crate::history::{Event, History};
+use serde_json::{json, Value};
+use std::io::{BufRead, BufReader, Write};
+use std::net::SocketAddr;
+use std::os::unix::net::UnixStream;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::mpsc::{self, Receiver};
+use std::time::{Duration, Instant};
+
+/// Far longer than a start, an end or an answer takes.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// A running program. Killed when this is dropped.
+#[derive(Debug)]
+pub struct Process {
+    /// Its number in the crew.
+    pub number: usize,
+    /// Where clients connect.
+    pub address: SocketAddr,
+    folder: PathBuf,
+    child: Child,
+    history: History,
+}
+
+fn serving(log: &Receiver<String>, number: usize) -> SocketAddr {
+    let until = Instant::now() + PATIENCE;
+    loop {
+        let left = until.saturating_duration_since(Instant::now());
+        let line = log.recv_timeout(left).unwrap_or_else(|_| panic!("process {number} does not serve"));
+        if let Some((_, address)) = line.split_once("serving at ") {
+            return address.parse().expect("an address");
+        }
+    }
+}
+
+impl Process {
+    /// Starts `program` with the files `config.json` and, with members, `members.json` of a folder.
+    pub fn start(program: &Path, number: usize, folder: &Path, members: bool, history: &History) -> Process {
+        let mut command = Command::new(program);
+        command.arg(folder.join("config.json"));
+        if members {
+            command.arg("--members").arg(folder.join("members.json"));
+        }
+        let mut child =
+            command.stdout(Stdio::null()).stderr(Stdio::piped()).spawn().expect("the program starts");
+        history.note(Event::Started(number));
+        let log = BufReader::new(child.stderr.take().expect("piped"));
+        let (lines, said) = mpsc::channel();
+        let noted = history.clone();
+        // Read to its end, else the program would wait to write.
+        std::thread::spawn(move || {
+            for line in log.lines().map_while(Result::ok) {
+                if line.contains("members: ") || line.contains("panicked") || line.contains("serving at") {
+                    noted.note(Event::Said(number, line.clone()));
+                }
+                // Only its start is waited for.
+                let _ = lines.send(line);
+            }
+        });
+        let address = serving(&said, number);
+        Process { number, address, folder: folder.to_owned(), child, history: history.clone() }
+    }
+
+    fn signal(&self, name: &str) {
+        let sent = Command::new("kill").args([name, &self.child.id().to_string()]).status();
+        assert!(sent.expect("kill runs").success(), "{name} to process {}", self.number);
+    }
+
+    /// SIGKILL.
+    pub fn kill(&mut self) {
+        self.history.note(Event::Killed(self.number));
+        self.child.kill().expect("it was there");
+        self.child.wait().expect("it can be waited for");
+    }
+
+    /// SIGSTOP: it does not run until it is continued.
+    pub fn stop(&self) {
+        self.history.note(Event::Stopped(self.number));
+        self.signal("-STOP");
+    }
+
+    /// SIGCONT.
+    pub fn go_on(&self) {
+        self.history.note(Event::Continued(self.number));
+        self.signal("-CONT");
+    }
+
+    /// SIGHUP.
+    pub fn reload(&self) {
+        self.signal("-HUP");
+    }
+
+    /// SIGTERM, and waits until it has ended well.
+    pub fn end(&mut self) {
+        self.history.note(Event::Ended(self.number));
+        self.signal("-TERM");
+        let until = Instant::now() + PATIENCE;
+        loop {
+            if let Some(status) = self.child.try_wait().expect("it can be waited for") {
+                assert_eq!(status.code(), Some(0), "process {}", self.number);
+                return;
+            }
+            assert!(Instant::now() < until, "process {} does not end", self.number);
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    }
+
+    /// Whom it takes to be there; `None`: nobody answers at its socket in time.
+    pub fn view(&self) -> Option<Value> {
+        let mut stream = UnixStream::connect(self.folder.join("s")).ok()?;
+        stream.set_read_timeout(Some(PATIENCE / 10)).ok()?;
+        stream.write_all(format!("{}\n", json!({"op": "members"})).as_bytes()).ok()?;
+        let mut line = String::new();
+        BufReader::new(stream).read_line(&mut line).ok()?;
+        let mut answer: Value = serde_json::from_str(&line).ok()?;
+        Some(answer["ok"].take()).filter(Value::is_object)
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // It may have ended already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
--- a/members/src/members.rs
+++ b/members/src/members.rs
@@ -268,6 +268,7 @@
             condition: entry.condition(),
             since: now.saturating_sub(entry.since),
             heard: entry.acked.map(|at| now.saturating_sub(at)),
+            agrees: entry.digest.map(|digest| digest == self.roster.digest()),
             unsettled: entry.flaps.is_unsettled(now),
             suspected_by: match &entry.state {
                 State::Suspect(suspicion) => suspicion.by().to_vec(),
--- a/members/src/members/asked.rs
+++ b/members/src/members/asked.rs
@@ -94,6 +94,9 @@
         digest: u64,
         out: &mut Vec<Out>,
     ) {
+        if let Some(entry) = self.roster.touch(&from.name) {
+            entry.digest = Some(digest);
+        }
         if let Some(relay) = self.relays.take(number) {
             let kind = Kind::Ack { number: relay.number, digest: self.roster.digest() };
             self.send(relay.origin.address, kind, Vec::new(), Some(&relay.origin.name), out);
--- a/members/src/roster.rs
+++ b/members/src/roster.rs
@@ -23,6 +23,18 @@
     Left,
 }
 
+impl Condition {
+    /// Its name, in log and state.
+    pub fn name(self) -> &'static str {
+        match self {
+            Condition::Alive => "alive",
+            Condition::Suspected => "suspected",
+            Condition::Failed => "failed",
+            Condition::Left => "left",
+        }
+    }
+}
+
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) enum State {
     Alive,
@@ -40,12 +52,22 @@
     pub since: Micros,
     /// When it last answered this process, itself or by a helper.
     pub acked: Option<Micros>,
+    /// What its list came to when it last said so.
+    pub digest: Option<u64>,
     pub flaps: Flaps,
 }
 
 impl Entry {
     pub fn new(card: Card, incarnation: Incarnation, now: Micros) -> Entry {
-        Entry { card, incarnation, state: State::Alive, since: now, acked: None, flaps: Flaps::default() }
+        Entry {
+            card,
+            incarnation,
+            state: State::Alive,
+            since: now,
+            acked: None,
+            digest: None,
+            flaps: Flaps::default(),
+        }
     }
 
     pub fn condition(&self) -> Condition {
--- a/members/src/view.rs
+++ b/members/src/view.rs
@@ -21,6 +21,8 @@
     pub since: Micros,
     /// How long ago it last answered this process; `None`: never, or it is this process.
     pub heard: Option<Micros>,
+    /// Whether its list, when it last said what it comes to, was this process's list as it is now; `None`: it has not said.
+    pub agrees: Option<bool>,
     /// Whether it comes and goes.
     pub unsettled: bool,
     /// Who suspects it.
--- a/proxy/src/arguments.rs
+++ b/proxy/src/arguments.rs
@@ -15,7 +15,8 @@
   nettleworks FILE [--keys FILE]
   nettleworks check FILE [--keys FILE]
   nettleworks keys list --state unsure --socket FILE
-  nettleworks keys settle ID --as ran --why REASON --socket FILE"
+  nettleworks keys settle ID --as ran --why REASON --socket FILE
+  nettleworks members --members FILE"
 )]
 pub struct Arguments {
     /// Serve as this file says; without it as the file that ROUTER_CONFIG names
@@ -23,6 +24,9 @@
     /// With a store of idempotency keys, as this file says
     #[arg(long, global = true, value_name = "FILE")]
     pub keys: Option<PathBuf>,
+    /// As one of the client proxies that know each other, as this file says
+    #[arg(long, global = true, value_name = "FILE")]
+    pub members: Option<PathBuf>,
     /// With so many engines, a thread each, that serve as one
     #[arg(long, value_name = "N", default_value_t = 1, value_parser = clap::value_parser!(u8).range(1..=32))]
     pub cores: u8,
@@ -37,6 +41,18 @@
         /// The configuration
         file: PathBuf,
     },
+    /// Show whom a running proxy takes to be there, and where it stands among them
+    Members {
+        /// The proxy's operators' socket; without it the one that the file of --members names
+        #[arg(long, value_name = "FILE")]
+        socket: Option<PathBuf>,
+        /// All that it says, as one JSON object
+        #[arg(long)]
+        json: bool,
+        /// Only those in this condition: alive, suspected, failed or left
+        #[arg(long)]
+        condition: Option<String>,
+    },
     /// Look at a running proxy's idempotency keys, and settle one by hand
     Keys {
         #[command(subcommand)]
--- /dev/null
+++ b/proxy/src/control.rs
@@ -0,0 +1,134 @@
+//! An operators' socket: a file, for its owner alone. Each line that comes is one JSON object, and so is its answer:
+//! `{"ok": …}` or `{"error": "…"}`.
+
+use serde_json::{json, Value};
+use socket2::{Domain, SockAddr, Socket, Type};
+use std::fs::{self, DirBuilder, Permissions};
+use std::future::Future;
+use std::io;
+use std::os::unix::fs::{DirBuilderExt, PermissionsExt};
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::net::{UnixListener, UnixStream};
+use tokio::sync::Semaphore;
+use tokio::time::timeout;
+
+/// Most bytes of a line. The longest key and reason fit.
+const LINE_MOST: u64 = 64 << 10;
+/// Most connections at a time; a further one waits.
+const CONNECTIONS_MOST: usize = 4;
+/// How long a connection may say nothing, or not read.
+const SILENCE: Duration = Duration::from_secs(30);
+
+/// The socket's file, which goes with the socket.
+struct File(PathBuf);
+
+impl Drop for File {
+    fn drop(&mut self) {
+        // Somebody may have removed it.
+        let _ = fs::remove_file(&self.0);
+    }
+}
+
+/// Listens at a file that only its owner can open, from its first moment on: it is made in a folder of its own and
+/// put in its place when it is ready. A file that a dead process has left is replaced.
+fn bind(path: &Path) -> io::Result<UnixListener> {
+    // One that is there and busy must not keep this process waiting.
+    let other = Socket::new(Domain::UNIX, Type::STREAM, None)?;
+    other.set_nonblocking(true)?;
+    match other.connect(&SockAddr::unix(path)?) {
+        Ok(()) => return Err(io::ErrorKind::AddrInUse.into()),
+        Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+            return Err(io::ErrorKind::AddrInUse.into())
+        }
+        Err(_) => {}
+    }
+    if fs::symlink_metadata(path).is_ok_and(|there| {
+        use std::os::unix::fs::FileTypeExt;
+        !there.file_type().is_socket()
+    }) {
+        return Err(io::Error::new(io::ErrorKind::AlreadyExists, "a file that is no socket is there"));
+    }
+    let name = path.file_name().ok_or(io::ErrorKind::InvalidInput)?.to_string_lossy();
+    let folder = path.with_file_name(format!(".{name}.{}", std::process::id()));
+    // One that an earlier process of this number has left.
+    let _ = fs::remove_dir_all(&folder);
+    DirBuilder::new().mode(0o700).create(&folder)?;
+    let bound = (|| {
+        let made = folder.join("socket");
+        let listener = UnixListener::bind(&made)?;
+        fs::set_permissions(&made, Permissions::from_mode(0o600))?;
+        fs::rename(&made, path)?;
+        Ok(listener)
+    })();
+    let _ = fs::remove_dir_all(&folder);
+    bound
+}
+
+/// Takes the socket; what comes back serves on it for as long as it is kept, inside a [`tokio::task::LocalSet`]. Each line is
+/// answered by `answer`, which is told who asks; `log` hears what goes wrong.
+///
+/// # Errors
+///
+/// Another process serves there, a file that is no socket is there, or what the system says.
+pub fn serve<A>(path: &Path, log: impl Fn(&str) + 'static, answer: A) -> io::Result<impl Future<Output = ()>>
+where
+    A: AsyncFn(Vec<u8>, String) -> Result<Value, String> + 'static,
+{
+    let listener = bind(path)?;
+    let file = File(path.to_owned());
+    let answer = Rc::new(answer);
+    Ok(async move {
+        let places = Arc::new(Semaphore::new(CONNECTIONS_MOST));
+        loop {
+            let Ok(place) = places.clone().acquire_owned().await else { return };
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    let answer = answer.clone();
+                    tokio::task::spawn_local(async move {
+                        // Whoever has gone, or is silent, has no use for more.
+                        let _ = converse(stream, &*answer).await;
+                        drop(place);
+                    });
+                }
+                Err(error) => {
+                    log(&format!("{}: {error}", file.0.display()));
+                    tokio::time::sleep(Duration::from_millis(100)).await;
+                }
+            }
+        }
+    })
+}
+
+async fn converse(
+    stream: UnixStream,
+    answer: &impl AsyncFn(Vec<u8>, String) -> Result<Value, String>,
+) -> io::Result<()> {
+    let who = stream.peer_cred().map_or("somebody".to_owned(), |peer| format!("uid {}", peer.uid()));
+    let (read, mut write) = stream.into_split();
+    let mut read = BufReader::new(read);
+    loop {
+        let mut line = Vec::new();
+        let mut limited = (&mut read).take(LINE_MOST);
+        timeout(SILENCE, limited.read_until(b'\n', &mut line)).await??;
+        if line.is_empty() {
+            return Ok(());
+        }
+        let whole = line.ends_with(b"\n");
+        let answered = match whole {
+            true => answer(line, who.clone()).await,
+            false => Err("the line is too long".to_owned()),
+        };
+        let answered = match answered {
+            Ok(ok) => json!({ "ok": ok }),
+            Err(error) => json!({ "error": error }),
+        };
+        timeout(SILENCE, write.write_all(format!("{answered}\n").as_bytes())).await??;
+        if !whole {
+            return Ok(());
+        }
+    }
+}
--- a/proxy/src/keys_command.rs
+++ b/proxy/src/keys_command.rs
@@ -1,17 +1,9 @@
 //! `nettleworks keys`: asks a running proxy over its operators' socket.
 
 use crate::arguments::{Keys, List, Said};
+use crate::shown::{self, word, Connection};
 use serde_json::{json, Value};
-use std::fmt::Write as _;
-use std::io::{BufRead, BufReader, Read, Write};
-use std::os::unix::net::UnixStream;
 use std::path::{Path, PathBuf};
-use std::time::Duration;
-
-/// How long the proxy may take for an answer.
-const PATIENCE: Duration = Duration::from_secs(10);
-/// Longest answer: a part of the list.
-const ANSWER_MOST: u64 = 16 << 20;
 
 /// Where a configuration of keys has its socket.
 pub fn socket_of(keys: &Path) -> Result<PathBuf, String> {
@@ -37,32 +29,7 @@
     }
 }
 
-struct Connection(BufReader<UnixStream>);
-
 impl Connection {
-    fn open(socket: &Path) -> Result<Connection, String> {
-        let stream = UnixStream::connect(socket);
-        let stream = stream.and_then(|stream| {
-            stream.set_read_timeout(Some(PATIENCE))?;
-            stream.set_write_timeout(Some(PATIENCE))?;
-            Ok(stream)
-        });
-        Ok(Connection(BufReader::new(stream.map_err(|error| format!("{}: {error}", socket.display()))?)))
-    }
-
-    fn ask(&mut self, request: &Value) -> Result<Value, String> {
-        let failed = |error: std::io::Error| format!("the proxy does not answer: {error}");
-        self.0.get_mut().write_all(format!("{request}\n").as_bytes()).map_err(failed)?;
-        let mut line = String::new();
-        (&mut self.0).take(ANSWER_MOST).read_line(&mut line).map_err(failed)?;
-        let mut answer: Value =
-            serde_json::from_str(&line).map_err(|error| format!("the proxy's answer: {error}"))?;
-        match answer["error"].as_str() {
-            Some(error) => Err(error.to_owned()),
-            None => Ok(answer["ok"].take()),
-        }
-    }
-
     /// All parts of the list are asked for, as the oldest may be in the last; no more are kept than are shown.
     fn list(&mut self, list: &List) -> Result<String, String> {
         let List { state, class, tenant, older, key_from, most } = list;
@@ -96,30 +63,9 @@
     Ok(text.trim_end_matches(['\r', '\n']).to_owned())
 }
 
-fn word(value: &Value) -> String {
-    match value {
-        Value::Null => "-".to_owned(),
-        Value::String(text) => text.clone(),
-        other => other.to_string(),
-    }
-}
-
 fn table(keys: &[Value], all: usize) -> String {
     let heads = ["id", "state", "age_ms", "left_ms", "waiters", "class", "tenant", "key"];
-    let rows: Vec<Vec<String>> =
-        keys.iter().map(|key| heads.iter().map(|head| word(&key[*head])).collect()).collect();
-    let mut text = String::new();
-    let widths: Vec<usize> = (0..heads.len())
-        .map(|at| rows.iter().map(|row| row[at].chars().count()).chain([heads[at].len()]).max().unwrap_or(0))
-        .collect();
-    let head: Vec<String> = heads.iter().map(|head| (*head).to_owned()).collect();
-    for row in std::iter::once(&head).chain(&rows) {
-        let line: Vec<String> =
-            row.iter().zip(&widths).map(|(word, width)| format!("{word:width$}")).collect();
-        let _ = writeln!(text, "{}", line.join("  ").trim_end());
-    }
-    let _ = write!(text, "{} of {all} keys", keys.len());
-    text
+    format!("{}{} of {all} keys", shown::table(&heads, keys), keys.len())
 }
 
 fn lines(key: &Value) -> String {
--- a/proxy/src/lib.rs
+++ b/proxy/src/lib.rs
@@ -3,6 +3,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod control;
 pub mod cores;
 pub mod operators;
 pub mod requests;
--- a/proxy/src/main.rs
+++ b/proxy/src/main.rs
@@ -3,9 +3,12 @@
 
 mod arguments;
 mod keys_command;
+mod member;
+mod shown;
 
 use arguments::{Arguments, Command};
 use clap::Parser;
+use member::Member;
 use nettleworks::config::Config;
 use nettleworks::cores::{self, End, Spare, Told};
 use nettleworks::server;
@@ -40,14 +43,18 @@
             return ExitCode::FAILURE;
         }
     };
-    let Arguments { file, keys, cores, command } = arguments;
+    let Arguments { file, keys, members, cores, command } = arguments;
     let start = |files: &Files| match cores {
         0 | 1 => start(files),
         cores => start_cores(files, cores.into()),
     };
-    let files = |config| Files { config, keys: keys.clone() };
+    let files = |config| Files { config, keys: keys.clone(), members: members.clone() };
     let done = match (command, file) {
         (Some(Command::Check { file }), _) => check(&files(file)),
+        (Some(Command::Members { socket, json, condition }), _) => {
+            member::command(socket, members.as_deref(), json, condition.as_deref())
+                .and_then(|text| say(&text))
+        }
         (Some(Command::Keys { command, socket }), _) => {
             let socket = socket.map_or_else(
                 || match &keys {
@@ -77,6 +84,7 @@
 struct Files {
     config: PathBuf,
     keys: Option<PathBuf>,
+    members: Option<PathBuf>,
 }
 
 impl Files {
@@ -87,6 +95,13 @@
         let text = std::fs::read_to_string(path).map_err(|error| bad(error.to_string()))?;
         config.with_keys(&text).map_err(bad)
     }
+
+    async fn member(&self) -> Result<Option<Rc<Member>>, String> {
+        match &self.members {
+            Some(file) => Member::start(file).await.map(|member| Some(Rc::new(member))),
+            None => Ok(None),
+        }
+    }
 }
 
 fn say(text: &str) -> Result<(), String> {
@@ -99,6 +114,11 @@
 /// must start under a later platform too, only logs it.
 fn check(files: &Files) -> Result<(), String> {
     let (path, config) = (&files.config, files.load()?);
+    if let Some(members) = &files.members {
+        let settings = nettleworks_members_wire::Settings::load(members)?;
+        settings.codec()?;
+        say(&format!("{}: good, {} seeds", members.display(), settings.seeds.len()))?;
+    }
     for place in &config.unused {
         say(&format!("{place}: not used"))?;
     }
@@ -123,15 +143,23 @@
         // Port 0 is any that is free.
         let address = listener.local_addr().map_err(|e| e.to_string())?;
         log(&format!("serving at {address}"));
-        let stop = async move {
+        let member = files.member().await?;
+        let stop = async {
             terminate.recv().await;
+            if let Some(member) = &member {
+                member.leave().await;
+            }
         };
         let reload = async || {
             hangup.recv().await?;
+            if let Some(member) = &member {
+                member.reload().await;
+            }
             Some(files.load())
         };
         nettleworks::run(config, log, listener, reload, stop).await;
         // What is left are tasks without a client: the watch, idle connections.
+        goodbye(member).await;
         Ok(())
     })
 }
@@ -139,7 +167,7 @@
 /// Serves with several engines, a thread each. This thread tells them all of signals, and ends when all have ended.
 fn start_cores(files: &Files, cores: usize) -> Result<(), String> {
     let runtime = runtime::Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string())?;
-    runtime.block_on(async {
+    LocalSet::new().block_on(&runtime, async {
         let mut terminate = signal(SignalKind::terminate()).map_err(|e| e.to_string())?;
         let mut hangup = signal(SignalKind::hangup()).map_err(|e| e.to_string())?;
         let config = files.load()?;
@@ -174,36 +202,54 @@
         drop(ended);
         log(&format!("serving at {address}"));
         log(&format!("{cores} engines"));
+        let member = files.member().await?;
         let mut well = 0;
         let mut out_of_time = std::pin::pin!(async {
             terminate.recv().await;
             spare.close();
             stop.send_replace(true);
+            if let Some(member) = &member {
+                member.leave().await;
+            }
             // Each ends by itself in its time; one that does not answer is not waited for.
             tokio::time::sleep(server::STOP_DELAY + 2 * server::STOP_MOST + Duration::from_millis(100)).await;
         });
-        loop {
+        let done = loop {
             tokio::select! {
                 end = ends.recv() => match end {
                     Some((_, Ok(End::Well))) => well += 1,
                     Some((shard, Ok(End::Panicked))) => log(&format!("shard {shard} has ended by a panic")),
                     Some((shard, Err(reason))) => log(&format!("shard {shard} has not started: {reason}")),
-                    None if well > 0 => return Ok(()),
-                    None => return Err("no shard is left".to_owned()),
+                    None if well > 0 => break Ok(()),
+                    None => break Err("no shard is left".to_owned()),
                 },
                 () = &mut out_of_time => {
                     log("not all shards have ended in their time");
-                    return Ok(());
+                    break Ok(());
+                }
+                Some(()) = hangup.recv() => {
+                    match files.load() {
+                        Ok(config) => drop(reloads.send_replace(Some(Arc::new(config)))),
+                        Err(reason) => log(&format!("configuration kept: {}", reason.replace('\n', " "))),
+                    }
+                    if let Some(member) = &member {
+                        member.reload().await;
+                    }
                 }
-                Some(()) = hangup.recv() => match files.load() {
-                    Ok(config) => drop(reloads.send_replace(Some(Arc::new(config)))),
-                    Err(reason) => log(&format!("configuration kept: {}", reason.replace('\n', " "))),
-                },
             }
-        }
+        };
+        goodbye(member.clone()).await;
+        done
     })
 }
 
+/// The word that this process leaves has a last moment to go round.
+async fn goodbye(member: Option<Rc<Member>>) {
+    if let Some(member) = member {
+        member.left().await;
+    }
+}
+
 fn log_of(shard: usize, line: &str) {
     // One that cannot be written to is no reason to stop serving.
     let _ = writeln!(std::io::stderr(), "nettleworks: shard {shard}: {line}");
--- a/proxy/src/operators.rs
+++ b/proxy/src/operators.rs
@@ -1,12 +1,11 @@
-//! The operators' socket: a file, for its owner alone, over which keys are looked at and settled by hand.
-//!
-//! Each line is one JSON object, and so is its answer: `{"ok": …}` or `{"error": "…"}`. What is asked:
+//! The operators' socket over which keys are looked at and settled by hand ([`crate::control`]). What is asked:
 //!
 //! - `{"op":"list","state":"unsure","class":"…","tenant":"…","older_ms":0,"key":"…","from":0}`, all but `op` left out
 //!   at will: a part of the keys that pass, and `next`, which is the `from` of the next part or null.
 //! - `{"op":"show","id":"12-345"}`: one key.
 //! - `{"op":"settle","id":"12-345","as":"ran","why":"…"}`, or `"as":"never-ran"`: settles an unsure key.
 
+use crate::control;
 use crate::cores::Shards;
 use nettleworks_engine::config::Config;
 use nettleworks_engine::driver::Handle;
@@ -16,26 +15,8 @@
 use nettleworks_keys_station::{Operate, WithKeys};
 use serde::Deserialize;
 use serde_json::{json, Value};
-use socket2::{Domain, SockAddr, Socket, Type};
-use std::fs::{self, DirBuilder, Permissions};
-use std::io;
-use std::os::unix::fs::{DirBuilderExt, PermissionsExt};
-use std::path::{Path, PathBuf};
-use std::sync::Arc;
-use std::time::Duration;
-use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
-use tokio::net::{UnixListener, UnixStream};
-use tokio::sync::Semaphore;
-use tokio::time::timeout;
-
-/// Most bytes of a line. The longest key and reason fit.
-const LINE_MOST: u64 = 64 << 10;
 /// Most bytes of a reason, which goes to the log.
 const WHY_MOST: usize = 512;
-/// Most connections at a time; a further one waits.
-const CONNECTIONS_MOST: usize = 4;
-/// How long a connection may say nothing, or not read.
-const SILENCE: Duration = Duration::from_secs(30);
 /// A place of the list within its shard.
 const PLACE_BITS: u32 = 40;
 /// How many places of the store are looked through for one answer: calls wait meanwhile.
@@ -76,11 +57,17 @@
 /// ahead: `2/12-345`.
 pub fn start_for(driver: &Handle<Http1>, shards: Option<Shards>) -> Option<Task> {
     let path = driver.config().keys()?.socket.clone()?;
-    match bind(&path) {
-        Ok(listener) => {
+    let all = All { driver: driver.clone(), shards };
+    let log = driver.clone();
+    let served = control::serve(
+        &path,
+        move |line| log.log(&format!("keys: {line}")),
+        async move |line, who| answer(&all, &line, &who).await,
+    );
+    match served {
+        Ok(served) => {
             driver.log(&format!("keys: operators at {}", path.display()));
-            let all = All { driver: driver.clone(), shards };
-            Some(task::spawn(async move { serve(listener, File(path), all).await }))
+            Some(task::spawn(served))
         }
         Err(error) => {
             driver.log(&format!("keys: no operators at {}: {error}", path.display()));
@@ -89,51 +76,6 @@
     }
 }
 
-/// The socket's file, which goes with the socket.
-struct File(PathBuf);
-
-impl Drop for File {
-    fn drop(&mut self) {
-        // Somebody may have removed it.
-        let _ = fs::remove_file(&self.0);
-    }
-}
-
-/// Listens at a file that only its owner can open, from its first moment on: it is made in a folder of its own and
-/// put in its place when it is ready. A file that a dead process has left is replaced.
-fn bind(path: &Path) -> io::Result<UnixListener> {
-    // One that is there and busy must not keep this process waiting.
-    let other = Socket::new(Domain::UNIX, Type::STREAM, None)?;
-    other.set_nonblocking(true)?;
-    match other.connect(&SockAddr::unix(path)?) {
-        Ok(()) => return Err(io::ErrorKind::AddrInUse.into()),
-        Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
-            return Err(io::ErrorKind::AddrInUse.into())
-        }
-        Err(_) => {}
-    }
-    if fs::symlink_metadata(path).is_ok_and(|there| {
-        use std::os::unix::fs::FileTypeExt;
-        !there.file_type().is_socket()
-    }) {
-        return Err(io::Error::new(io::ErrorKind::AlreadyExists, "a file that is no socket is there"));
-    }
-    let name = path.file_name().ok_or(io::ErrorKind::InvalidInput)?.to_string_lossy();
-    let folder = path.with_file_name(format!(".{name}.{}", std::process::id()));
-    // One that an earlier process of this number has left.
-    let _ = fs::remove_dir_all(&folder);
-    DirBuilder::new().mode(0o700).create(&folder)?;
-    let bound = (|| {
-        let made = folder.join("socket");
-        let listener = UnixListener::bind(&made)?;
-        fs::set_permissions(&made, Permissions::from_mode(0o600))?;
-        fs::rename(&made, path)?;
-        Ok(listener)
-    })();
-    let _ = fs::remove_dir_all(&folder);
-    bound
-}
-
 /// Where the keys are: with one engine, or with all shards.
 #[derive(Clone)]
 struct All {
@@ -184,55 +126,6 @@
     }
 }
 
-async fn serve(listener: UnixListener, file: File, all: All) {
-    let places = Arc::new(Semaphore::new(CONNECTIONS_MOST));
-    loop {
-        let Ok(place) = places.clone().acquire_owned().await else { return };
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let all = all.clone();
-                tokio::task::spawn_local(async move {
-                    // Whoever has gone, or is silent, has no use for more.
-                    let _ = converse(stream, &all).await;
-                    drop(place);
-                });
-            }
-            Err(error) => {
-                all.driver.log(&format!("keys: {}: {error}", file.0.display()));
-                tokio::time::sleep(Duration::from_millis(100)).await;
-            }
-        }
-    }
-}
-
-async fn converse(stream: UnixStream, all: &All) -> io::Result<()> {
-    let who = stream.peer_cred().map_or("somebody".to_owned(), |peer| format!("uid {}", peer.uid()));
-    let (read, mut write) = stream.into_split();
-    let mut read = BufReader::new(read);
-    let mut line = Vec::new();
-    loop {
-        line.clear();
-        let mut limited = (&mut read).take(LINE_MOST);
-        timeout(SILENCE, limited.read_until(b'\n', &mut line)).await??;
-        if line.is_empty() {
-            return Ok(());
-        }
-        let whole = line.ends_with(b"\n");
-        let answer = match whole {
-            true => answer(all, &line, &who).await,
-            false => Err("the line is too long".to_owned()),
-        };
-        let answer = match answer {
-            Ok(ok) => json!({ "ok": ok }),
-            Err(error) => json!({ "error": error }),
-        };
-        timeout(SILENCE, write.write_all(format!("{answer}\n").as_bytes())).await??;
-        if !whole {
-            return Ok(());
-        }
-    }
-}
-
 async fn answer(all: &All, line: &[u8], who: &str) -> Result<Value, String> {
     let request: Request = serde_json::from_slice(line).map_err(|error| error.to_string())?;
     let config = all.driver.config();
