--- a/members/wire/tests/datagrams.rs
+++ b/members/wire/tests/datagrams.rs
@@ -1,6 +1,8 @@
 //! Datagrams that are good, and those that are not.
 
-use nettleworks_members::{Card, Claim, Incarnation, Kind, Message, Name, Sender, Update};
+use nettleworks_members::{
+    Card, Claim, Config, Incarnation, Kind, Members, Message, Name, Out, Sender, Update,
+};
 use nettleworks_members_wire::{Codec, Frame, Refused, OVERHEAD_MOST};
 use proptest::prelude::*;
 use std::net::{IpAddr, SocketAddr};
@@ -100,6 +102,37 @@
     }
 }
 
+proptest! {
+    /// Any messages that the key could have made: the list keeps its bound, nothing longer than a packet is said, and time
+    /// that passes always brings an end of what is to be done in it.
+    #[test]
+    fn any_messages_leave_a_member_within_its_bounds(frames in proptest::collection::vec(frame(), 1..40)) {
+        let config = Config { most: 6, ..Config::default() };
+        let card = Card::at("10.0.0.1:7000".parse().expect("an address"));
+        let name = Name::new("me").expect("a name");
+        let mut members = Members::new(config.clone(), name, card, vec![], 1, 0, 1_700_000_000_000).expect("good");
+        let (mut now, mut out) = (0, Vec::new());
+        for frame in frames {
+            members.hear(now, frame.message, &mut out);
+            let mut wakes = 0;
+            let until = now + 400_000;
+            while let Some(at) = members.wakes_at().filter(|at| *at <= until) {
+                now = at.max(now);
+                members.wake(now, &mut out);
+                wakes += 1;
+                prop_assert!(wakes < 1_000, "it wants to be woken for good at {}", now);
+            }
+            now = until;
+        }
+        prop_assert!(members.view(now).members.len() <= config.most);
+        for out in out {
+            if let Out::Send { message, .. } = out {
+                prop_assert!(message.size_most() <= config.packet, "{} bytes", message.size_most());
+            }
+        }
+    }
+}
+
 #[test]
 fn keys_versions_and_sizes_are_told_apart() {
     assert!(Codec::new(b"too short").is_err());
