--- a/council/src/holder.rs
+++ b/council/src/holder.rs
@@ -24,7 +24,8 @@
 }
 
 impl Holder {
-    /// Of this life of a process, which has no part in the role yet.
+    /// Of this life of a process, which has no part in the role yet and has never had: asks are numbered from one on, so a
+    /// process that starts again must be another life, or an old ask would be taken for a new one.
     pub fn new(role: Role, own: Life, terms: Terms) -> Holder {
         Holder { role, own, terms, next_ask: 1, asks: VecDeque::new(), lease: None, gives_up: None }
     }
--- a/council/src/machine.rs
+++ b/council/src/machine.rs
@@ -211,6 +211,13 @@
         }
     }
 
+    /// The same for a council that begins anew from what one voter knew of the last one: numbers that the last may have
+    /// given beyond that are passed over.
+    #[must_use]
+    pub fn refounded(&self) -> State {
+        State { epoch: self.epoch + (1 << 20), fence: self.fence + (1 << 32), ..self.clone() }
+    }
+
     fn next_epoch(&mut self) -> Change {
         self.epoch += 1;
         Change::Epoch(self.epoch)
