A member of the lab's crowd begins to live when it starts

Cause: lab/src/crowd.rs made all members at 0 s and started them within the first second, so that each counted what lay between as time in which it did not run.

--- a/lab/src/crowd.rs
+++ b/lab/src/crowd.rs
@@ -18,6 +18,7 @@
 #[derive(Clone)]
 pub struct Crowd {
     nodes: Vec<Node>,
+    config: Config,
     queue: Queue<Ev>,
     /// The present moment.
     pub now: Micros,
@@ -88,6 +89,7 @@
     pub fn agreed(count: usize, seed: u64, config: &Config) -> Result<Crowd, String> {
         let mut crowd = Crowd {
             nodes: Vec::with_capacity(count),
+            config: config.clone(),
             queue: Queue::default(),
             now: 0,
             network: Network::default(),
@@ -189,6 +191,10 @@
         let now = self.now;
         let node = match event {
             Ev::Start { node } => {
+                // It lives from here on. The bounds were good for the one that holds its place.
+                if let Ok(members) = self.born(node, &self.config.clone()) {
+                    self.nodes[node].members = members;
+                }
                 self.nodes[node].up = true;
                 node
             }
