A stop closes idle connections first and answers every call before SIGKILL may come

Besides, idle connections stayed open until the listener was gone, so that a request that crossed their close had nowhere to come again, and graceful.shutdown() did not look for unread bytes. Ruled out: connections that had said nothing (none was open at an end).

Change: proxy/src/stop.rs reckons the stop's times from the settings' longest deadline (SIGKILL: that, 3 s at most, and 0.7 s); idle connections close at once while new ones are taken, never with bytes unread or an answer half written; each answer says that its connection closes; what has no answer 0.12 s before SIGKILL is refused if it surely never ran, else failed (Waiting::cut_short).

Clients that leave: hyper does not look for a connection's end while bytes past the request lie in its buffer, so such a request waited and went on. Of 90 requests whose clients left while they waited, a third with nothing behind them, the program before sent 60 on 0.3 s later, this one none (proxy/tests/suite/stopping.rs).

Tests: stopping.rs, with the old program three of its five fail inside the test's process.

--- a/engine/src/driver/mod.rs
+++ b/engine/src/driver/mod.rs
@@ -83,9 +83,31 @@
 impl<P: Protocol> Waiting<P> {
     /// The call's final answer.
     pub async fn reply(mut self) -> Reply<P::Answer> {
+        self.hear().await
+    }
+
+    /// The same for one who may end the waiting before it is there.
+    pub async fn hear(&mut self) -> Reply<P::Answer> {
         // The sender is only ever dropped with the call, after an answer or with the process.
         (&mut self.reply).await.unwrap_or(Reply::Failed)
     }
+
+    /// The call's final answer where its process ends before it has another: refused if it surely never ran, else
+    /// failed. Nothing is sent for it afterwards.
+    pub fn cut_short(self) -> Reply<P::Answer> {
+        let driver = self.driver.0.borrow();
+        let call = driver.desk.calls.get(&self.call);
+        let never =
+            call.is_some_and(|call| matches!(call.owner, Some(Owner::Caller(_))) && !call.may_have_run());
+        let most = Duration::from_micros(driver.desk.config.settings.limits.max_retry_after);
+        drop(driver);
+        // Dropped with this, it has gone.
+        if never {
+            Reply::Refused(TORN.min(most))
+        } else {
+            Reply::Failed
+        }
+    }
 }
 
 impl<P: Protocol> Drop for Waiting<P> {
--- a/engine/src/net.rs
+++ b/engine/src/net.rs
@@ -3,12 +3,13 @@
 //! own: streams, connecting and the wall clock are then that network's. Time that passes is tokio's in both, which can
 //! be paused; tasks are those of the [`tokio::task::LocalSet`] that polls.
 
+use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, Waker};
 use std::time::{Duration, SystemTime};
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 
 #[cfg(feature = "virtual-net")]
@@ -71,6 +72,22 @@
     }
 }
 
+impl Stream {
+    /// Whether the other side has ended its sending or the connection has broken, however much it sent before. Nobody
+    /// reads on to find it out.
+    pub fn is_left(&self) -> bool {
+        match self {
+            Stream::Tcp(stream) => {
+                let mut ready = std::pin::pin!(stream.ready(Interest::READABLE));
+                let ready = ready.as_mut().poll(&mut Context::from_waker(Waker::noop()));
+                matches!(ready, Poll::Ready(Ok(ready)) if ready.is_read_closed())
+            }
+            #[cfg(feature = "virtual-net")]
+            Stream::Virtual(stream) => stream.is_left(),
+        }
+    }
+}
+
 /// Does the same with whichever stream it is.
 macro_rules! either {
     ($stream:expr, $io:ident => $act:expr) => {
@@ -171,6 +188,9 @@
     pub trait VirtualStream: AsyncRead + AsyncWrite + Unpin + Debug {
         /// Whether nothing waits to be read, not even the end.
         fn is_quiet(&self) -> bool;
+
+        /// Whether the other side has ended its sending or the connection has broken, whatever waits to be read.
+        fn is_left(&self) -> bool;
     }
 
     /// A listener of such a network.
--- a/engine/src/socket.rs
+++ b/engine/src/socket.rs
@@ -19,6 +19,7 @@
     /// Where the bytes of the attempt that has the connection now are counted.
     meter: RefCell<Meter>,
     reads: Cell<u64>,
+    blocked: Cell<bool>,
     read_at: Cell<Instant>,
 }
 
@@ -33,6 +34,7 @@
             io: RefCell::new(Some(TokioIo::new(stream.into()))),
             meter: RefCell::default(),
             reads: Cell::new(0),
+            blocked: Cell::new(false),
             read_at: Cell::new(Instant::now()),
         }))
     }
@@ -62,6 +64,16 @@
     pub fn is_quiet(&self) -> bool {
         self.0.io.borrow().as_ref().is_some_and(|io| io.inner().is_quiet())
     }
+
+    /// Whether the other side has closed it, or it is broken, whatever still waits in it to be read.
+    pub fn is_left(&self) -> bool {
+        self.0.io.borrow().as_ref().is_none_or(|io| io.inner().is_left())
+    }
+
+    /// Whether something that was to be written waits for the other side to read.
+    pub fn is_blocked(&self) -> bool {
+        self.0.blocked.get()
+    }
 }
 
 impl Read for Socket {
@@ -93,6 +105,7 @@
         let open = io.as_mut().filter(|_| !self.0.meter.borrow().is_revoked());
         let Some(io) = open else { return Poll::Ready(Err(io::ErrorKind::NotConnected.into())) };
         let written = Pin::new(io).poll_write(context, bytes);
+        self.0.blocked.set(written.is_pending());
         if let Poll::Ready(Ok(count)) = written {
             self.0.meter.borrow().add(count);
         }
--- a/engine/tests/net.rs
+++ b/engine/tests/net.rs
@@ -49,6 +49,10 @@
     fn is_quiet(&self) -> bool {
         self.1.get()
     }
+
+    fn is_left(&self) -> bool {
+        false
+    }
 }
 
 #[derive(Default)]
--- a/lab/src/full/net.rs
+++ b/lab/src/full/net.rs
@@ -560,6 +560,10 @@
         side.is_some_and(|side| side.come.is_empty() && !side.ended && !side.reset)
     }
 
+    pub fn is_left(&self, number: ConnId, side: usize) -> bool {
+        self.conns.get(&number).map(|conn| &conn.sides[side]).is_none_or(|side| side.ended || side.reset)
+    }
+
     pub fn poll_accept(&mut self, proxy: usize, context: &Context<'_>) -> Poll<ConnId> {
         let door = &mut self.doors[proxy];
         while let Some(number) = door.waiting.pop_front() {
--- a/lab/src/full/socket.rs
+++ b/lab/src/full/socket.rs
@@ -117,6 +117,10 @@
     fn is_quiet(&self) -> bool {
         self.world.borrow().is_quiet(self.conn, self.side)
     }
+
+    fn is_left(&self) -> bool {
+        self.world.borrow().is_left(self.conn, self.side)
+    }
 }
 
 /// Where a proxy accepts.
--- a/proxy/src/cores.rs
+++ b/proxy/src/cores.rs
@@ -18,7 +18,7 @@
 use std::time::Duration;
 use tokio::sync::{mpsc, watch};
 use tokio::task::LocalSet;
-use tokio::time::{sleep, timeout};
+use tokio::time::{sleep, timeout_at};
 
 /// Connections that were accepted for a shard that does not answer, and not yet taken in.
 const ACCEPTED_MOST: usize = 16;
@@ -212,10 +212,10 @@
         drop(standing_in);
     };
     let front = async {
-        server::serve_also(listener, Some(more), driver.clone(), stopped).await;
+        let over = server::serve_also(listener, Some(more), driver.clone(), stopped).await;
         driver.log_counts();
         // One that does not answer must not keep the others.
-        let _ = timeout(server::STOP_MOST, peers.done(me)).await;
+        let _ = timeout_at(over, peers.done(me)).await;
     };
     tokio::select! {
         () = front => Some(()),
--- a/proxy/src/lib.rs
+++ b/proxy/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod operators;
 pub mod requests;
 pub mod server;
+pub mod stop;
 
 pub use nettleworks_engine::config;
 
@@ -50,7 +51,7 @@
     };
     tokio::select! {
         biased;
-        () = server::serve(listener, driver.clone(), stop) => driver.log_counts(),
+        _ = server::serve(listener, driver.clone(), stop) => driver.log_counts(),
         () = reloads => {}
     }
 }
--- a/proxy/src/main.rs
+++ b/proxy/src/main.rs
@@ -12,6 +12,7 @@
 use nettleworks::config::Config;
 use nettleworks::cores::{self, End, Spare, Told};
 use nettleworks::server;
+use nettleworks::stop::Schedule;
 use nettleworks_keys_station::WithKeys;
 use std::io::Write;
 use std::path::PathBuf;
@@ -23,6 +24,10 @@
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::{mpsc, watch};
 use tokio::task::LocalSet;
+use tokio::time::Instant;
+
+/// What the process still has after the moment by which its engines are to have ended.
+const ENGINES_LAST: Duration = Duration::from_millis(20);
 
 fn main() -> ExitCode {
     let arguments = match Arguments::try_parse() {
@@ -206,13 +211,14 @@
         let mut well = 0;
         let mut out_of_time = std::pin::pin!(async {
             terminate.recv().await;
+            let over = Schedule::from(Instant::now(), &config.settings).over;
             spare.close();
             stop.send_replace(true);
             if let Some(member) = &member {
                 member.leave().await;
             }
             // Each ends by itself in its time; one that does not answer is not waited for.
-            tokio::time::sleep(server::STOP_DELAY + 2 * server::STOP_MOST + Duration::from_millis(100)).await;
+            tokio::time::sleep_until(over + ENGINES_LAST).await;
         });
         let done = loop {
             tokio::select! {
--- a/proxy/src/requests.rs
+++ b/proxy/src/requests.rs
@@ -1,5 +1,6 @@
 //! What a client's request says and whether it can be used, and the answers that clients get.
 
+use crate::stop::Ending;
 use http::request::Parts;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Buf, Bytes, Incoming};
@@ -40,14 +41,28 @@
 }
 
 /// Gives a request its one answer.
-pub async fn answer(driver: Driver, request: Request<Incoming>, arrival: Arrival) -> Answer {
+pub async fn answer(driver: Driver, request: Request<Incoming>, arrival: Arrival, ending: &Ending) -> Answer {
     match request.uri().path() {
         "/_health" if driver.is_ready() => plain(StatusCode::OK),
         "/_health" => plain(StatusCode::SERVICE_UNAVAILABLE),
         "/api" => {
-            let socket = arrival.socket;
+            let (socket, left) = (arrival.socket.clone(), arrival.socket);
             match take_in(&driver.config(), request, arrival.whole_by, || socket.read_at()).await {
-                Ok((ask, forward)) => answered(driver.request(ask, forward).reply().await),
+                Ok((mut ask, forward)) => {
+                    // Nobody is there to hear of a request whose client has left, also where what that sent lay behind
+                    // another.
+                    if left.is_left() {
+                        return unusable(StatusCode::BAD_REQUEST);
+                    }
+                    ask.deadline = ending.at().map_or(ask.deadline, |at| ask.deadline.min(at));
+                    let mut waiting = driver.request(ask, forward);
+                    let reply = tokio::select! {
+                        biased;
+                        reply = waiting.hear() => reply,
+                        () = ending.reached() => waiting.cut_short(),
+                    };
+                    answered(reply)
+                }
                 Err(turned) => {
                     if let Some(rest) = turned.rest {
                         spawn_local(drain(rest));
--- a/proxy/src/server.rs
+++ b/proxy/src/server.rs
@@ -1,10 +1,10 @@
 //! The application's connections: takes them in, closes those that are due or in the way, and stops.
 
 use crate::requests::{answer, Arrival, Driver};
+use crate::stop::{Ending, Schedule};
 use hyper::header::{self, HeaderValue};
 use hyper::service::service_fn;
 use hyper_util::rt::TokioTimer;
-use hyper_util::server::graceful::GracefulShutdown;
 use nettleworks_engine::http1::HEAD_MOST;
 use nettleworks_engine::net::{Listener, Stream};
 use nettleworks_engine::quota::{Counted, Side};
@@ -19,16 +19,17 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, Notify};
 use tokio::task::{spawn_local, yield_now, JoinHandle};
-use tokio::time::{interval, sleep, timeout, Instant, MissedTickBehavior};
+use tokio::time::{interval, sleep, sleep_until, timeout, timeout_at, Instant, MissedTickBehavior};
 
 /// Connections that may wait to be accepted.
 const BACKLOG: i32 = 1_024;
-/// How long new connections are still taken after the order to stop; they come for up to 0.4 s.
-pub const STOP_DELAY: Duration = Duration::from_millis(500);
-/// How long open requests are waited for after that: the longest deadline.
-pub const STOP_MOST: Duration = Duration::from_secs(3);
+/// How often a stop looks whether all connections have ended.
+const STOP_LOOK: Duration = Duration::from_millis(10);
+/// How long a connection that has said nothing is kept in a stop: whoever opens one means to ask at once, and one that
+/// is closed on it may find nobody else to ask.
+const NEW_LEAST: Duration = Duration::from_millis(250);
 /// Time for a whole request, however it trickles: from its connection's start, or from its own first byte.
 /// Clients are owed an answer or a close within 3 s.
 pub const WHOLE_TIME: Duration = Duration::from_millis(2_500);
@@ -77,10 +78,13 @@
     TcpListener::from_std(bind(address)?)
 }
 
-/// Serves until `stop` is done, then goes on for as long as new connections may come, then closes connections
-/// between requests and returns when none is left.
-pub async fn serve(listener: impl Into<Listener>, driver: Driver, stop: impl Future<Output = ()>) {
-    serve_also(listener, None, driver, stop).await;
+/// Serves until `stop` is done, and then goes on in this order, by the times of [`Schedule`]: connections on which
+/// nothing is asked are closed at once, while new ones are still taken, so that a request that crosses its close has
+/// where to come again; each answer says that its connection closes; then no new connection is taken; and calls that
+/// have no answer when the process must end get their last one then. Returns when no connection is left, and by that
+/// moment in any case, which it gives.
+pub async fn serve(listener: impl Into<Listener>, driver: Driver, stop: impl Future<Output = ()>) -> Instant {
+    serve_also(listener, None, driver, stop).await
 }
 
 /// The same; connections that others have accepted come by `more`.
@@ -89,22 +93,28 @@
     mut more: Option<mpsc::Receiver<Stream>>,
     driver: Driver,
     stop: impl Future<Output = ()>,
-) {
+) -> Instant {
     let listener = listener.into();
+    let ending = Ending::default();
     let mut clients =
-        Clients { driver, graceful: GracefulShutdown::new(), open: Vec::new(), crowded: Rc::default() };
-    let mut stop = pin!(async {
-        stop.await;
-        sleep(STOP_DELAY).await;
-    });
+        Clients { driver, ending: ending.clone(), open: Vec::new(), crowded: Rc::default(), stopping: false };
+    let mut stop = pin!(stop);
+    let mut doors = None;
     let mut sweeps = interval(SWEEP);
     sweeps.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    loop {
+    let schedule = loop {
         let room = clients.make_room();
         // In this order, not in one drawn anew. What comes seldom is first: a crowd at the door must not keep it back.
         tokio::select! {
             biased;
-            () = &mut stop => break,
+            () = &mut stop, if doors.is_none() => {
+                let schedule = Schedule::from(Instant::now(), &clients.driver.config().settings);
+                ending.begin(schedule.answered);
+                clients.stopping = true;
+                clients.sweep();
+                doors = Some(schedule);
+            }
+            schedule = closing(doors) => break schedule,
             _ = sweeps.tick() => clients.sweep(),
             accepted = another(&mut more), if room => clients.serve(accepted),
             accepted = listener.accept(), if room => match accepted {
@@ -120,7 +130,7 @@
                 }
             },
         }
-    }
+    };
     // What the machine has accepted by now has been taken: closing the listener would reset it.
     while clients.make_room() {
         let Ok(Ok(stream)) = timeout(Duration::ZERO, listener.accept()).await else { break };
@@ -130,11 +140,28 @@
     // Whoever has sent half a request by then, or does not read its answer, must not keep the process; neither must
     // calls that nobody waits for.
     let driver = clients.driver.clone();
-    let _ = timeout(STOP_MOST, async {
-        clients.graceful.shutdown().await;
+    let left = timeout_at(schedule.over, async {
+        while !clients.have_ended() {
+            sleep(STOP_LOOK).await;
+        }
         driver.settled().await;
-    })
-    .await;
+    });
+    if left.await.is_err() {
+        let (open, lingering) = (clients.open.len(), driver.lingering());
+        driver.log(&format!("stopped with {open} connections and {lingering} calls that nobody waits for"));
+    }
+    schedule.over
+}
+
+/// When no new connection is taken any more.
+async fn closing(schedule: Option<Schedule>) -> Schedule {
+    match schedule {
+        Some(schedule) => {
+            sleep_until(schedule.doors).await;
+            schedule
+        }
+        None => std::future::pending().await,
+    }
 }
 
 /// The next connection that somebody else has accepted; none comes where nobody does.
@@ -174,6 +201,8 @@
 /// A client's connection.
 struct Client {
     task: JoinHandle<()>,
+    /// Told: it closes as soon as its answer, if it has one, is written.
+    close: Rc<Notify>,
     socket: Socket,
     phase: Rc<Cell<Phase>>,
     _counted: Option<Counted>,
@@ -186,16 +215,31 @@
             Phase::New(since) | Phase::Begun(since) => now >= since + WHOLE_TIME,
             // What has come and was not read may be a whole request.
             Phase::Idle(since) => now >= since + idle && self.socket.is_quiet(),
-            Phase::Open => false,
+            // hyper does not look for the end of what it still has to read a further request from.
+            Phase::Open => self.socket.is_left(),
         }
     }
 
+    /// Whether it may be closed by a stop: nothing is asked on it, all that was answered is written, and whoever may
+    /// be asking now can come again.
+    fn may_leave(&self, now: Instant) -> bool {
+        let silent = match self.phase.get() {
+            Phase::New(since) => self.socket.reads() == 0 && now >= since + NEW_LEAST,
+            Phase::Idle(_) => !self.socket.is_blocked(),
+            Phase::Begun(_) | Phase::Open => false,
+        };
+        // What has come and was not read may be a whole request.
+        silent && self.socket.is_quiet()
+    }
+
     /// How well it can be spared, those with the least number first; `None`: not at all. A new one is given time
     /// to ask, else each of a crowd would be closed for the next before its request is there.
     fn spare(&self, now: Instant) -> Option<(u8, Instant)> {
         let (rank, since) = match self.phase.get() {
             Phase::New(since) | Phase::Begun(since) => (0, since),
             Phase::Idle(since) if now >= since + IDLE_LEAST => (1, since),
+            // Its answer is not all written.
+            Phase::Idle(_) if self.socket.is_blocked() => return None,
             // Those that come back keep theirs before those that have asked once, and may never again.
             Phase::Idle(since) if self.socket.reads() <= 1 => (2, since),
             Phase::Idle(since) => (3, since),
@@ -216,7 +260,9 @@
 /// The connections of clients.
 struct Clients {
     driver: Driver,
-    graceful: GracefulShutdown,
+    ending: Ending,
+    /// The process ends: connections are closed as soon as nothing is asked on them.
+    stopping: bool,
     open: Vec<Client>,
     /// More are open than half of what clients may hold for requests.
     crowded: Rc<Cell<bool>>,
@@ -259,12 +305,20 @@
             let due = client.is_due(now, idle);
             if due {
                 client.close();
+            } else if self.stopping && client.may_leave(now) {
+                client.close.notify_one();
             }
             !due && !client.task.is_finished()
         });
         self.open.shrink_to(2 * self.open.len());
     }
 
+    /// Whether all have ended; closes those that may.
+    fn have_ended(&mut self) -> bool {
+        self.sweep();
+        self.open.is_empty()
+    }
+
     fn serve(&mut self, stream: Stream) {
         if let Err(error) = stream.set_nodelay() {
             self.driver.log(&format!("nodelay: {error}"));
@@ -273,17 +327,19 @@
         let phase = Rc::new(Cell::new(Phase::New(Instant::now())));
         let (driver, state, read) = (self.driver.clone(), phase.clone(), socket.clone());
         let (crowded, asked) = (self.crowded.clone(), Rc::new(Cell::new(false)));
+        let ending = self.ending.clone();
         let service = service_fn(move |request| {
             let arrival = Arrival { whole_by: state.get().whole_by(&read), socket: read.clone() };
             let (driver, state, reads) = (driver.clone(), state.clone(), read.reads());
             let (crowded, first) = (crowded.clone(), !asked.replace(true));
+            let ending = ending.clone();
             async move {
                 state.set(Phase::Open);
                 let socket = arrival.socket.clone();
-                let mut answer = answer(driver, request, arrival).await;
+                let mut answer = answer(driver, request, arrival, &ending).await;
                 // Many who ask once and keep their connections leave none for those who ask again. An answer that
                 // says so closes without crossing a request, and at once.
-                if first && crowded.get() {
+                if first && crowded.get() || ending.at().is_some() {
                     answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
                 }
                 // What was read meanwhile may be half of the next request.
@@ -298,13 +354,20 @@
             .header_read_timeout(None)
             .max_buf_size(HEAD_MOST)
             .serve_connection(socket.clone(), service);
-        let connection = self.graceful.watch(connection);
+        let close = Rc::new(Notify::new());
+        let told = close.clone();
         let task = spawn_local(async move {
+            let mut connection = pin!(connection);
             // A connection that breaks ends its request's waiting, which tells the module.
+            tokio::select! {
+                biased;
+                _ = &mut connection => return,
+                () = told.notified() => connection.as_mut().graceful_shutdown(),
+            }
             let _ = connection.await;
         });
         // It is here: there may be one too many for a moment where others accept too.
         let counted = self.driver.config().quota.place(Side::Clients, usize::MAX);
-        self.open.push(Client { task, socket, phase, _counted: counted });
+        self.open.push(Client { task, close, socket, phase, _counted: counted });
     }
 }
--- a/proxy/tests/inside.rs
+++ b/proxy/tests/inside.rs
@@ -7,4 +7,6 @@
 
 #[path = "suite/listening.rs"]
 mod listening;
+#[path = "suite/stopping.rs"]
+mod stopping;
 mod suite;
--- a/standins/src/demo.rs
+++ b/standins/src/demo.rs
@@ -58,9 +58,10 @@
     let address = listener.local_addr()?;
     let driver = Handle::start(config.clone(), Http1::new(&config), Vec::new(), Rc::new(|_| ()));
     let (stop, stopped) = oneshot::channel::<()>();
-    let serving = spawn_local(nettleworks::server::serve(listener, driver.clone(), async {
+    let stopped = async {
         let _ = stopped.await;
-    }));
+    };
+    let serving = spawn_local(nettleworks::server::serve(listener, driver.clone(), stopped));
     writeln!(
         out,
         "5 hosts, discovery at {}, the proxy at {address}, 24 clients, seed {seed}",
