Lists may come indented, and only what is whole is a watch's sign of life

Change: what comes is cut into values by their brackets, each byte looked at once, 4 MiB a list at the most; errors name list, line and column. Silent is a watch that brought nothing whole for two heartbeats and a quarter (4.5 s). A pushed watch opens again after 50 ms, doubling to 0.8 s while none brings a list; connecting takes 1 s at the most.

Tests: engine/src/discovery.rs (three), proxy/tests/suite/discovery.rs (indented in pieces of seven bytes, a list that never ends, a pushed watch that breaks twice).

--- a/engine/src/discovery.rs
+++ b/engine/src/discovery.rs
@@ -9,25 +9,38 @@
 use hyper_util::rt::TokioIo;
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::time::timeout;
+use tokio::time::{timeout, timeout_at, Instant};
 
-/// A heartbeat comes every 2 s: a watch that is silent for two and a half of them is taken for dead.
-const SILENCE: Duration = Duration::from_secs(5);
-/// Longest line of a watch; a longer one is not a list of any fleet that one proxy serves.
-const LINE_MOST: usize = 4 << 20;
+/// A heartbeat comes every 2 s: a watch on which two of them and a quarter bring nothing whole is taken for dead. What
+/// it hid counts as told 6 s after it fell silent, and until then another one has to be open.
+const SILENCE: Duration = Duration::from_millis(4_500);
+/// Time for a connection to discovery. Nobody queues there.
+const CONNECT: Duration = Duration::from_secs(1);
+/// Time for the answer of one that works through its calls in turn.
+const ANSWER_ASKED: Duration = Duration::from_secs(5);
+/// The same of an agent that pushes, which answers at once.
+const ANSWER_PUSHED: Duration = Duration::from_secs(1);
+/// Longest list; a longer one is not that of any fleet that one proxy serves.
+const LIST_MOST: usize = 4 << 20;
 
 /// How a watch ended.
 #[derive(Debug)]
 pub enum End {
     /// It was open, and nothing came for too long: it is not known since when it tells nothing.
     Silent,
-    /// The connection broke or ended or never came up, the answer was not 200 or did not come, or a line was bad.
+    /// The connection broke or ended or never came up, the answer was not 200 or did not come, or what came is no list.
     Failed(BoxError),
 }
 
 /// Watches the list from version `since` on and passes on what comes, until the watch ends. It returns how.
-pub async fn watch(discovery: SocketAddr, since: Option<u64>, mut news: impl FnMut(List)) -> End {
-    match follow(discovery, since, &mut news).await {
+/// `pushed`: it is an agent, which never lets a call wait.
+pub async fn watch(
+    discovery: SocketAddr,
+    pushed: bool,
+    since: Option<u64>,
+    mut news: impl FnMut(List),
+) -> End {
+    match follow(discovery, pushed, since, &mut news).await {
         Ok(end) => end,
         Err(reason) => End::Failed(reason),
     }
@@ -35,37 +48,157 @@
 
 async fn follow(
     discovery: SocketAddr,
+    pushed: bool,
     since: Option<u64>,
     news: &mut impl FnMut(List),
 ) -> Result<End, BoxError> {
-    let stream = timeout(SILENCE, dial(discovery)).await??;
+    let answer = if pushed { ANSWER_PUSHED } else { ANSWER_ASKED };
+    let stream = timeout(CONNECT, dial(discovery)).await??;
     let (mut sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await?;
     let _connection = task::spawn(connection);
     let since = since.map(|seq| format!("&since={seq}")).unwrap_or_default();
     let request = Request::get(format!("/catalog/members?follow=1{since}"))
         .header(header::HOST, discovery.to_string())
         .body(Empty::<Bytes>::new())?;
-    let response = timeout(SILENCE, sender.send_request(request)).await??;
+    let response = timeout(answer, sender.send_request(request)).await??;
     if response.status() != StatusCode::OK {
         return Err(format!("discovery answered {}", response.status()).into());
     }
     let mut body = response.into_body();
-    let mut pending = Vec::new();
+    let mut values = Values::default();
+    // Where the answer is the first list, it comes with its head.
+    let mut alive = Instant::now();
     loop {
-        let Ok(frame) = timeout(SILENCE, body.frame()).await else { return Ok(End::Silent) };
-        let Some(frame) = frame else { return Ok(End::Failed("the watch ended".into())) };
+        let Ok(frame) = timeout_at(alive + SILENCE, body.frame()).await else { return Ok(End::Silent) };
+        let Some(frame) = frame else { return Ok(End::Failed(values.end().into())) };
         let Ok(data) = frame?.into_data() else { continue };
-        for piece in data.split_inclusive(|&byte| byte == b'\n') {
-            if pending.len() + piece.len() > LINE_MOST {
-                return Err("a line is too long".into());
+        // Bytes that never make a whole list are no sign of life.
+        if values.take(&data, |value| serde_json::from_slice(value).map(&mut *news))? {
+            alive = Instant::now();
+        }
+    }
+}
+
+/// Cuts what comes into its values, however they are set in lines. Each byte is looked at once.
+#[derive(Debug, Default)]
+struct Values {
+    /// Of a value whose end has not come.
+    pending: Vec<u8>,
+    /// Open brackets of it.
+    depth: usize,
+    /// In a text of it, and there behind a backslash.
+    text: bool,
+    escaped: bool,
+    /// Values so far.
+    count: usize,
+}
+
+impl Values {
+    /// Takes further bytes, and whether they ended a value or, between two, a line.
+    fn take(
+        &mut self,
+        bytes: &[u8],
+        mut whole: impl FnMut(&[u8]) -> serde_json::Result<()>,
+    ) -> Result<bool, BoxError> {
+        let mut alive = false;
+        for &byte in bytes {
+            if self.depth == 0 && byte.is_ascii_whitespace() {
+                alive |= byte == b'\n';
+                continue;
+            }
+            if self.depth == 0 && byte != b'{' {
+                let (next, what) = (self.count + 1, byte.escape_ascii());
+                return Err(format!("list {next} of the watch begins with {what}").into());
+            }
+            if self.pending.len() == LIST_MOST {
+                return Err(
+                    format!("list {} of the watch is over {LIST_MOST} bytes long", self.count + 1).into()
+                );
+            }
+            self.pending.push(byte);
+            match byte {
+                _ if self.escaped => self.escaped = false,
+                b'\\' if self.text => self.escaped = true,
+                b'"' => self.text = !self.text,
+                b'{' | b'[' if !self.text => self.depth += 1,
+                b'}' | b']' if !self.text => self.depth -= 1,
+                _ => {}
             }
-            pending.extend_from_slice(piece);
-            if piece.ends_with(b"\n") {
-                if !pending.trim_ascii().is_empty() {
-                    news(serde_json::from_slice(&pending)?);
-                }
-                pending.clear();
+            if self.depth == 0 {
+                self.count += 1;
+                alive = true;
+                whole(&self.pending).map_err(|error| format!("list {} of the watch: {error}", self.count))?;
+                self.pending.clear();
+            }
+        }
+        Ok(alive)
+    }
+
+    /// What the end of the watch means here.
+    fn end(&self) -> String {
+        match self.depth {
+            0 => "the watch ended".to_owned(),
+            _ => format!("the watch ended within list {}", self.count + 1),
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Takes a text in pieces of a size. Gives what values came, and the failure.
+    fn taken(text: &str, size: usize) -> (Vec<String>, Option<String>, Values) {
+        let (mut values, mut came) = (Values::default(), Vec::new());
+        for piece in text.as_bytes().chunks(size) {
+            let took = values.take(piece, |value| {
+                came.push(serde_json::from_slice::<serde_json::Value>(value)?.to_string());
+                Ok(())
+            });
+            if let Err(error) = took {
+                return (came, Some(error.to_string()), values);
             }
         }
+        (came, None, values)
+    }
+
+    #[test]
+    fn values_are_cut_however_they_are_set_in_lines_and_pieces() {
+        let text = "\n{\"a\":1}\n\n {\n \"b\" : [ {\n}, \"}\\\"{\\\\\"\n]\n}\n{\"c\":{}}{\"d\":2}\n";
+        let whole = ["{\"a\":1}", "{\"b\":[{},\"}\\\"{\\\\\"]}", "{\"c\":{}}", "{\"d\":2}"];
+        for size in 1..text.len() {
+            let (came, error, values) = taken(text, size);
+            assert_eq!((came, error), (whole.map(str::to_owned).to_vec(), None), "{size}");
+            assert_eq!(values.end(), "the watch ended");
+        }
+        let (came, error, values) = taken(&text[..20], 3);
+        assert_eq!((came.len(), error), (1, None));
+        assert_eq!(values.end(), "the watch ended within list 2");
+    }
+
+    #[test]
+    fn what_is_no_list_is_named_with_its_place() {
+        for (text, said) in [
+            ("{}\nnull\n", "list 2 of the watch begins with n"),
+            ("}", "list 1 of the watch begins with }"),
+            ("{]", "list 1 of the watch: key must be a string at line 1 column 2"),
+            ("{\n\"a\":}", "list 1 of the watch: expected value at line 2 column 5"),
+        ] {
+            let error = taken(text, 100).1.expect("it is none");
+            assert_eq!(error, said, "{text}");
+        }
+        let error = taken(&format!("{{{}", " ".repeat(LIST_MOST)), 1 << 16).1.expect("it is too long");
+        assert_eq!(error, "list 1 of the watch is over 4194304 bytes long");
+    }
+
+    /// A line's end within a list, or a part of one, is no sign of life; the end of a list or of a line between two is.
+    #[test]
+    fn only_what_is_whole_is_a_sign_of_life() {
+        let mut values = Values::default();
+        let mut take = |text: &str| values.take(text.as_bytes(), |_| Ok(())).expect("no failure");
+        assert_eq!(
+            ["\n", "{\n", "\n\"a\":\n", "1", "}", " ", "\r\n"].map(&mut take).to_vec(),
+            [true, false, false, false, true, false, true]
+        );
     }
 }
--- a/engine/src/driver/members.rs
+++ b/engine/src/driver/members.rs
@@ -12,9 +12,11 @@
 use std::time::Duration;
 use tokio::task::spawn_local;
 
-/// Where the list is pushed the module never asks for it: a watch that ended is opened again after this; one that fell
-/// silent at once, as what it hid counts as told a second after that is noticed.
-const PUSH_RETRY: Duration = Duration::from_secs(1);
+/// Where the list is pushed the module never asks for it: a watch that ended is opened again after this, and twice as
+/// long with each that brought no list, up to the most. What the agent has counts as told whether or not a watch is open,
+/// and asking costs nothing there. One that fell silent is opened again at once.
+const PUSH_RETRY: Duration = Duration::from_millis(50);
+const PUSH_DOUBLINGS: u32 = 4;
 
 /// Where a list comes from.
 #[derive(Clone, Copy, Debug)]
@@ -106,6 +108,7 @@
             if watch != driver.watches {
                 return;
             }
+            driver.watches_failed = 0;
             driver.desk.group.iter_mut().for_each(|group| group.listed(&list));
         }
         let cached = matches!(source, Source::Known);
@@ -161,7 +164,8 @@
         // The task of the last watch, if there is one, ends here.
         self.watch = Some(task::spawn(async move {
             let end =
-                discovery::watch(discovery, since, |list| handle.members(list, Source::Watch(watch))).await;
+                discovery::watch(discovery, pushed, since, |list| handle.members(list, Source::Watch(watch)))
+                    .await;
             if handle.0.borrow().watches != watch {
                 return;
             }
@@ -172,7 +176,9 @@
                 }
                 End::Failed(reason) => {
                     handle.log(&format!("discovery: {reason}"));
-                    (ListKind::Failed, PUSH_RETRY)
+                    let failed = &mut handle.0.borrow_mut().watches_failed;
+                    *failed += 1;
+                    (ListKind::Failed, PUSH_RETRY * (1 << (*failed - 1).min(PUSH_DOUBLINGS)))
                 }
             };
             handle.run([Event::Members { kind, entries: Vec::new() }]);
--- a/engine/src/driver/mod.rs
+++ b/engine/src/driver/mod.rs
@@ -54,6 +54,8 @@
     watch: Option<Task>,
     /// Number of the present watch: what an earlier one still has to say no longer counts.
     watches: u64,
+    /// Watches in a row that failed and brought no list.
+    watches_failed: u32,
     /// When the module wants to be woken next.
     wake: Option<Instant>,
     counts: Counts,
@@ -156,6 +158,7 @@
             hosts: Hosts::new(config.known.as_ref().map(|known| known.seq)),
             watch: None,
             watches: 0,
+            watches_failed: 0,
             wake: None,
             counts: Counts::default(),
             observer: None,
--- a/proxy/tests/suite/discovery.rs
+++ b/proxy/tests/suite/discovery.rs
@@ -121,3 +121,62 @@
         assert_eq!(client.ask(&request("unsafe", "", "")).await.status(), 200);
     });
 }
+
+/// Lists may come indented, over many lines and pieces.
+#[test]
+fn an_indented_list_is_taken() {
+    run(async {
+        let host = Host::start([ok("served")]).await;
+        let discovery = Discovery::quiet().await;
+        let proxy = Proxy::with(&discovery, &[], NONE).await;
+        eventually("the watch is open", || discovery.asked.borrow().len() == 1).await;
+        let line = list(42, true, &[entry("s-9", host.address, "Ready")]);
+        let value: serde_json::Value = serde_json::from_str(&line).expect("a list");
+        let text = serde_json::to_string_pretty(&value).expect("text");
+        for piece in text.as_bytes().chunks(7) {
+            let piece = std::str::from_utf8(piece).expect("text");
+            discovery.push(&format!("{:x}\r\n{piece}\r\n", piece.len())).await;
+        }
+        let mut client = proxy.client().await;
+        while client.ask(HEALTH).await.status() != 200 {}
+        assert_eq!(client.ask(&request("unsafe", "", "")).await.status(), 200);
+        assert_eq!(discovery.asked.borrow().len(), 1, "on the first watch");
+    });
+}
+
+/// A watch that goes on sending and never brings a whole list has fallen silent all the same.
+#[test]
+fn a_watch_that_never_ends_its_list_is_given_up() {
+    run(async {
+        let discovery = Discovery::quiet().await;
+        let _proxy = Proxy::with(&discovery, &[], NONE).await;
+        eventually("the watch is open", || discovery.asked.borrow().len() == 1).await;
+        discovery.push(&chunk("{\"seq\":")).await;
+        while discovery.asked.borrow().len() == 1 {
+            discovery.push(&chunk("")).await;
+            tokio::time::sleep(std::time::Duration::from_millis(100)).await;
+        }
+    });
+}
+
+/// What an agent has counts as told whether or not a watch is open, with a second's grace: where its watches break the
+/// next are opened well within that.
+#[test]
+fn a_pushed_watch_that_breaks_is_opened_again_at_once() {
+    run(async {
+        let ended = format!("{WATCH}0\r\n\r\n");
+        let host = Host::start([ok("served")]).await;
+        let news = format!("{WATCH}{}", chunk(&list(50, true, &[entry("s-9", host.address, "Ready")])));
+        let discovery = Discovery::start([ended.clone(), ended, news]).await;
+        let start = tokio::time::Instant::now();
+        let proxy = Proxy::with(&discovery, &[], |config| {
+            NONE(config);
+            config["settings"]["discovery"] = "push".into();
+        })
+        .await;
+        let mut client = proxy.client().await;
+        while client.ask(HEALTH).await.status() != 200 {}
+        // Each pause was a second.
+        assert!(start.elapsed() < std::time::Duration::from_millis(1_500), "{:?}", start.elapsed());
+    });
+}
