--- a/engine/src/http1/mod.rs
+++ b/engine/src/http1/mod.rs
@@ -19,6 +19,7 @@
 use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::time::Instant;
 
 /// Marks an answer that was made for an earlier request with the same key.
@@ -26,6 +27,10 @@
 /// Share of the time for which hosts keep an idle connection, after which it is no longer used.
 const IDLE_PART: f64 = 0.9;
 
+/// A second answer to a request may come some milliseconds after the first and would be taken for that of the next one
+/// on its connection: one that has been idle for as long goes before one that has not. Whatever came by then shows.
+const SETTLED: Duration = Duration::from_millis(10);
+
 /// A client's request as hosts get it.
 #[derive(Clone, Debug)]
 pub struct Forward {
@@ -58,6 +63,11 @@
     idle: Vec<(Instant, Connection)>,
 }
 
+/// How many of these, in the order in which they were last used, have been idle for [`SETTLED`].
+fn settled<T>(idle: &[(Instant, T)], now: Instant) -> usize {
+    idle.partition_point(|(since, _)| now.saturating_duration_since(*since) >= SETTLED)
+}
+
 struct Pool {
     config: Rc<Config>,
     /// In an order of their own: of two connections as old the same is closed in each run.
@@ -200,7 +210,11 @@
         let kept = host.and_then(|host| {
             // Only the one that is used is looked at, which asks the system: the others may be many.
             let fits = |kept: &(Instant, Connection)| kept.0.elapsed() < keep && kept.1.is_ready();
-            std::iter::from_fn(|| host.idle.pop()).find(fits).map(|(_, connection)| connection)
+            let mut fresh = host.idle.split_off(settled(&host.idle, Instant::now()));
+            let found = std::iter::from_fn(|| host.idle.pop()).find(&fits);
+            let found = found.or_else(|| std::iter::from_fn(|| fresh.pop()).find(&fits));
+            host.idle.append(&mut fresh);
+            found.map(|(_, connection)| connection)
         });
         // In a box: the tasks and time-outs around it would copy it each time that they take it over.
         Box::pin(self.clone().run(to, kept, forward, until, meter.clone()))
@@ -241,3 +255,16 @@
         Connections { open: Rc::strong_count(&pool.slots) - 1, idle, ..pool.counts }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_connection_that_has_just_answered_goes_last() {
+        let start = Instant::now();
+        let idle: Vec<_> = [0, 5, 6, 14].map(|ms| (start + Duration::from_millis(ms), ())).into();
+        let at = |ms| settled(&idle, start + Duration::from_millis(ms));
+        assert_eq!([at(0), at(9), at(10), at(15), at(16), at(23), at(24)], [0, 0, 1, 2, 3, 3, 4]);
+    }
+}
