--- a/proxy/src/requests.rs
+++ b/proxy/src/requests.rs
@@ -46,12 +46,12 @@
         "/_health" if driver.is_ready() => plain(StatusCode::OK),
         "/_health" => plain(StatusCode::SERVICE_UNAVAILABLE),
         "/api" => {
-            let (socket, left) = (arrival.socket.clone(), arrival.socket);
-            match take_in(&driver.config(), request, arrival.whole_by, || socket.read_at()).await {
+            let Arrival { socket, whole_by } = arrival;
+            match take_in(&driver.config(), request, whole_by, || socket.read_at()).await {
                 Ok((mut ask, forward)) => {
                     // Nobody is there to hear of a request whose client has left, also where what that sent lay behind
                     // another.
-                    if left.is_left() {
+                    if socket.is_left() {
                         return unusable(StatusCode::BAD_REQUEST);
                     }
                     ask.deadline = ending.at().map_or(ask.deadline, |at| ask.deadline.min(at));
--- a/proxy/src/server.rs
+++ b/proxy/src/server.rs
@@ -96,8 +96,7 @@
 ) -> Instant {
     let listener = listener.into();
     let ending = Ending::default();
-    let mut clients =
-        Clients { driver, ending: ending.clone(), open: Vec::new(), crowded: Rc::default(), stopping: false };
+    let mut clients = Clients { driver, ending: ending.clone(), open: Vec::new(), crowded: Rc::default() };
     let mut stop = pin!(stop);
     let mut doors = None;
     let mut sweeps = interval(SWEEP);
@@ -110,7 +109,6 @@
             () = &mut stop, if doors.is_none() => {
                 let schedule = Schedule::from(Instant::now(), &clients.driver.config().settings);
                 ending.begin(schedule.answered);
-                clients.stopping = true;
                 clients.sweep();
                 doors = Some(schedule);
             }
@@ -260,9 +258,8 @@
 /// The connections of clients.
 struct Clients {
     driver: Driver,
+    /// Once the process ends connections are closed as soon as nothing is asked on them.
     ending: Ending,
-    /// The process ends: connections are closed as soon as nothing is asked on them.
-    stopping: bool,
     open: Vec<Client>,
     /// More are open than half of what clients may hold for requests.
     crowded: Rc<Cell<bool>>,
@@ -305,7 +302,7 @@
             let due = client.is_due(now, idle);
             if due {
                 client.close();
-            } else if self.stopping && client.may_leave(now) {
+            } else if self.ending.at().is_some() && client.may_leave(now) {
                 client.close.notify_one();
             }
             !due && !client.task.is_finished()
--- a/proxy/tests/suite/discovery.rs
+++ b/proxy/tests/suite/discovery.rs
@@ -4,6 +4,17 @@
 use std::slice::from_ref;
 
 const NONE: fn(&mut serde_json::Value) = |config| config["known"]["hosts"] = serde_json::json!([]);
+const PUSHED: fn(&mut serde_json::Value) = |config| {
+    NONE(config);
+    config["settings"]["discovery"] = "push".into();
+};
+
+/// Waits until it has a list, and asks for something.
+async fn serves(proxy: &Proxy) {
+    let mut client = proxy.client().await;
+    while client.ask(HEALTH).await.status() != 200 {}
+    assert_eq!(client.ask(&request("unsafe", "", "")).await.status(), 200);
+}
 
 #[test]
 fn a_proxy_without_a_list_is_not_ready_and_with_one_it_serves() {
@@ -18,7 +29,7 @@
         let line = list(42, true, &[entry("s-9", host.address, "Ready")]);
         let (first, second) = line.split_at(20);
         discovery.push(&chunk("")).await;
-        discovery.push(&format!("{:x}\r\n{first}\r\n", first.len())).await;
+        discovery.push(&piece(first)).await;
         discovery.push(&chunk(second)).await;
         while client.ask(HEALTH).await.status() != 200 {}
         assert_eq!(client.ask(&request("unsafe", "", "")).await.status(), 200);
@@ -111,14 +122,7 @@
         let discovery =
             Discovery::start(["HTTP/1.1 503 No\r\n\r\n".to_owned(), format!("{WATCH}{}", chunk(&list))])
                 .await;
-        let proxy = Proxy::with(&discovery, &[], |config| {
-            NONE(config);
-            config["settings"]["discovery"] = "push".into();
-        })
-        .await;
-        let mut client = proxy.client().await;
-        while client.ask(HEALTH).await.status() != 200 {}
-        assert_eq!(client.ask(&request("unsafe", "", "")).await.status(), 200);
+        serves(&Proxy::with(&discovery, &[], PUSHED).await).await;
     });
 }
 
@@ -133,13 +137,10 @@
         let line = list(42, true, &[entry("s-9", host.address, "Ready")]);
         let value: serde_json::Value = serde_json::from_str(&line).expect("a list");
         let text = serde_json::to_string_pretty(&value).expect("text");
-        for piece in text.as_bytes().chunks(7) {
-            let piece = std::str::from_utf8(piece).expect("text");
-            discovery.push(&format!("{:x}\r\n{piece}\r\n", piece.len())).await;
+        for part in text.as_bytes().chunks(7) {
+            discovery.push(&piece(std::str::from_utf8(part).expect("text"))).await;
         }
-        let mut client = proxy.client().await;
-        while client.ask(HEALTH).await.status() != 200 {}
-        assert_eq!(client.ask(&request("unsafe", "", "")).await.status(), 200);
+        serves(&proxy).await;
         assert_eq!(discovery.asked.borrow().len(), 1, "on the first watch");
     });
 }
@@ -151,11 +152,12 @@
         let discovery = Discovery::quiet().await;
         let _proxy = Proxy::with(&discovery, &[], NONE).await;
         eventually("the watch is open", || discovery.asked.borrow().len() == 1).await;
-        discovery.push(&chunk("{\"seq\":")).await;
-        while discovery.asked.borrow().len() == 1 {
-            discovery.push(&chunk("")).await;
+        discovery.push(&piece("{\"seq\":")).await;
+        while discovery.asked.borrow().len() == 1 && !discovery.is_left() {
+            discovery.push(&piece(" ")).await;
             tokio::time::sleep(std::time::Duration::from_millis(100)).await;
         }
+        eventually("a second watch", || discovery.asked.borrow().len() == 2).await;
     });
 }
 
@@ -168,15 +170,11 @@
         let host = Host::start([ok("served")]).await;
         let news = format!("{WATCH}{}", chunk(&list(50, true, &[entry("s-9", host.address, "Ready")])));
         let discovery = Discovery::start([ended.clone(), ended, news]).await;
+        let proxy = Proxy::with(&discovery, &[], PUSHED).await;
+        eventually("a watch", || !discovery.asked.borrow().is_empty()).await;
         let start = tokio::time::Instant::now();
-        let proxy = Proxy::with(&discovery, &[], |config| {
-            NONE(config);
-            config["settings"]["discovery"] = "push".into();
-        })
-        .await;
-        let mut client = proxy.client().await;
-        while client.ask(HEALTH).await.status() != 200 {}
-        // Each pause was a second.
+        serves(&proxy).await;
+        // Each of the two pauses was a second.
         assert!(start.elapsed() < std::time::Duration::from_millis(1_500), "{:?}", start.elapsed());
     });
 }
--- a/proxy/tests/suite/stopping.rs
+++ b/proxy/tests/suite/stopping.rs
@@ -87,6 +87,23 @@
     });
 }
 
+/// A whole request lies unread on an idle connection when the stop is told, and nothing is polled in between where the
+/// proxy is on this thread: it is answered, and its connection not closed on it.
+#[test]
+fn what_was_not_read_when_the_stop_is_told_is_answered() {
+    run(async {
+        let host = Host::start([ok("served")]).await;
+        let mut proxy = Proxy::start(from_ref(&host)).await;
+        let mut client = proxy.client().await;
+        assert_eq!(client.ask(&request("free", "", "")).await.status(), 200);
+        let text = request("unsafe", "", "pays");
+        assert_eq!(client.stream.try_write(text.as_bytes()).expect("written"), text.len());
+        proxy.stop.take().expect("it runs").send(()).expect("it stops");
+        assert_eq!(client.message().await.expect("an answer").status(), 200);
+        proxy.task.await.expect("it ends well");
+    });
+}
+
 /// A client that has sent more than its request and then left has left: its call ends, and no answer is made for it.
 #[test]
 fn a_client_that_sent_more_and_left_has_left() {
--- a/standins/src/discovery.rs
+++ b/standins/src/discovery.rs
@@ -15,7 +15,12 @@
 
 /// A line of a watch, in a chunk of its own.
 pub fn chunk(line: &str) -> String {
-    format!("{:x}\r\n{line}\n\r\n", line.len() + 1)
+    piece(&format!("{line}\n"))
+}
+
+/// A part of what a watch brings, as a chunk.
+pub fn piece(text: &str) -> String {
+    format!("{:x}\r\n{text}\r\n", text.len())
 }
 
 /// Discovery: to each watch it says the next of its answers, and then what is pushed.
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -31,7 +31,7 @@
 pub use client::{request, request_for, Client, HEALTH};
 pub use configuration::{configuration, entry, list};
 pub use dice::Dice;
-pub use discovery::{chunk, Discovery, WATCH};
+pub use discovery::{chunk, piece, Discovery, WATCH};
 pub use host::{narrow_listener, ok, turn_away, Act, Host};
 pub use ledger::{Effect, Ledger, Twice};
 pub use load::{Load, Tally, Times};
