A repeat is written only within its window, however late its connection comes up

Cause: policy/src/balance.rs may_go looks at the window when it decides; engine/src/http1/mod.rs run_on_new then waits for the connection and writes whenever it is up (250 ms here; another customer's may be longer than the window).

Change: what was written of a call, and when, is kept by attempt (engine/src/meter.rs, Repeats), and the socket writes nothing of an attempt once the window of another has passed, the earlier of two that cross on connections included. A repeat whose connection is not up by then ends as not sent, which counts against no host.

--- a/engine/src/driver/attempts.rs
+++ b/engine/src/driver/attempts.rs
@@ -59,7 +59,7 @@
             return self.desk.events.push_back(ended(id, attempt, Outcome::NotSent, Duration::ZERO, closed));
         };
         let Some(call) = self.desk.calls.get_mut(&id) else { return };
-        let meter = Meter::new(self.fresh.clone());
+        let meter = Meter::new(self.fresh.clone(), call.repeats.clone(), attempt);
         let exchange = self.protocol.attempt(to, call.request.clone(), until, &meter);
         let task = {
             let (handle, meter) = (handle.clone(), meter.clone());
@@ -163,7 +163,11 @@
         let Some(mut out) = taken else { return };
         // Free before the module hears of it: it may send another at once.
         drop(out.place.take());
-        call.may_have_run |= !end.outcome.never_ran();
+        if end.outcome.never_ran() {
+            call.repeats.never_ran(attempt);
+        } else {
+            call.may_have_run = true;
+        }
         let answer = end.answer.take();
         let owner = answer.as_ref().and_then(|_| call.owner.take());
         let (elapsed, closed) = (out.sent.elapsed().as_micros() as Micros, call.owner.is_none());
--- a/engine/src/driver/way.rs
+++ b/engine/src/driver/way.rs
@@ -3,11 +3,13 @@
 use super::Driver;
 use crate::calls::call::Call;
 use crate::calls::{Ask, Guest, Outlives, Owner};
+use crate::meter::Repeats;
 use crate::protocol::Protocol;
 use crate::station::{Step, Told};
-use nettleworks_policy::{CallId, Event, Micros};
+use nettleworks_policy::{CallId, Event, Micros, Repeat};
 use std::cell::Cell;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::time::Instant;
 
 impl<P: Protocol> Driver<P> {
@@ -36,8 +38,24 @@
         let limit = outlives.map(|Outlives { until, .. }| Rc::new(Cell::new(until.max(deadline))));
         let past_aim = outlives.is_some_and(|outlives| outlives.past_aim);
         let (owner, late, attempts, lingers, may_have_run) = (Some(owner), None, Vec::new(), false, false);
-        let call =
-            Call { id, request, deadline, owner, late, limit, past_aim, lingers, may_have_run, attempts };
+        let within = match self.desk.config.settings.classes.get(class.0).map(|class| class.repeat) {
+            Some(Repeat::Guarded { window, .. }) => Some(Duration::from_micros(window)),
+            _ => None,
+        };
+        let repeats = Repeats::new(within);
+        let call = Call {
+            id,
+            request,
+            deadline,
+            owner,
+            late,
+            limit,
+            past_aim,
+            lingers,
+            may_have_run,
+            repeats,
+            attempts,
+        };
         self.desk.calls.insert(number, call);
         let time_left = deadline.saturating_duration_since(Instant::now()).as_micros() as Micros;
         self.desk.events.push_back(Event::Request { call: number, class, tenant, time_left, resent });
--- a/engine/src/http1/mod.rs
+++ b/engine/src/http1/mod.rs
@@ -166,13 +166,19 @@
             return End::without_answer(Outcome::NotSent);
         };
         let limit = self.0.borrow().config.connect_timeout;
+        let written_by = meter.written_by();
+        let limit = written_by.map_or(limit, |by| limit.min(by.saturating_duration_since(Instant::now())));
         let opened = Connection::open(to.address, limit, slot).await;
         self.count(|counts| *if opened.is_ok() { &mut counts.opened } else { &mut counts.open_failed } += 1);
         let end = match opened {
             Ok(connection) => exchange(connection, forward.request(until, &meter), &meter).await,
             Err(_) => None,
         };
-        let Some((end, connection)) = end else { return End::without_answer(Outcome::NoConnection) };
+        let Some((end, connection)) = end else {
+            // That it came too late says nothing of the host.
+            let outcome = if meter.is_too_late() { Outcome::NotSent } else { Outcome::NoConnection };
+            return End::without_answer(outcome);
+        };
         connection.into_iter().for_each(|connection| self.keep(to, connection));
         end
     }
--- a/engine/src/meter.rs
+++ b/engine/src/meter.rs
@@ -1,9 +1,11 @@
-//! What was written for one attempt: the proof that rules 1 and 2 rest on.
+//! What was written for one attempt, and when: the proof that rules 1 and 2 rest on.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
 
 /// Whether the process knows more of the list than this engine has taken in. Rule 3 (nothing new to a host that drains)
 /// counts from when the process was told: an engine that is behind writes nothing new until it has caught up.
@@ -34,6 +36,47 @@
     }
 }
 
+/// When the attempts of one call were first written to. Rule 2 allows a repeat for a time that begins with the first
+/// attempt that may have run, and it counts writing: the module decides within that time, and a connection may come up
+/// long after. Clones are of the same call.
+#[derive(Clone, Debug, Default)]
+pub struct Repeats(Option<Rc<Begun>>);
+
+#[derive(Debug)]
+struct Begun {
+    within: Duration,
+    /// By attempt, one that surely never ran left out; as many as the settings allow attempts.
+    first: RefCell<Vec<(u32, Instant)>>,
+}
+
+impl Repeats {
+    /// Of a call that may be repeated within a time; without one, at any time that the module chooses.
+    pub fn new(within: Option<Duration>) -> Repeats {
+        Repeats(within.map(|within| Rc::new(Begun { within, first: RefCell::default() })))
+    }
+
+    fn begins(&self, attempt: u32) {
+        if let Some(begun) = &self.0 {
+            begun.first.borrow_mut().push((attempt, Instant::now()));
+        }
+    }
+
+    /// An attempt has ended that surely never ran: it binds no other.
+    pub fn never_ran(&self, attempt: u32) {
+        if let Some(begun) = &self.0 {
+            begun.first.borrow_mut().retain(|(other, _)| *other != attempt);
+        }
+    }
+
+    /// By when an attempt must be written whole because of another; `None` while there is none.
+    fn until(&self, attempt: u32) -> Option<Instant> {
+        let begun = self.0.as_ref()?;
+        let first = begun.first.borrow();
+        let others = first.iter().filter(|(other, _)| *other != attempt).map(|(_, at)| *at);
+        Some(others.min()? + begun.within)
+    }
+}
+
 /// What was written for one attempt. No byte means that no host can have seen it, which is what rule 2 (no effect
 /// twice) rests on: a protocol counts here *every* byte of an attempt that it gives to the system. An attempt that is
 /// whole needs nothing more to be sent for it, whoever waits for it or not, which is what rule 1 rests on when its
@@ -49,12 +92,25 @@
     whole: Cell<bool>,
     revoked: Cell<bool>,
     fresh: Fresh,
+    repeats: Repeats,
+    attempt: u32,
 }
 
 impl Meter {
-    /// Of an engine that others may be ahead of.
-    pub fn new(fresh: Fresh) -> Meter {
-        Meter(Rc::new(Written { fresh, ..Written::default() }))
+    /// Of an engine that others may be ahead of, and of this attempt of a call.
+    pub fn new(fresh: Fresh, repeats: Repeats, attempt: u32) -> Meter {
+        Meter(Rc::new(Written { fresh, repeats, attempt, ..Written::default() }))
+    }
+
+    /// By when all of it must be written, since it repeats another attempt that may have run; `None`: it repeats none,
+    /// or may at any time. An earlier attempt that is written only now changes it.
+    pub fn written_by(&self) -> Option<Instant> {
+        self.0.repeats.until(self.0.attempt)
+    }
+
+    /// Whether that moment has passed: nothing more may be written.
+    pub fn is_too_late(&self) -> bool {
+        self.written_by().is_some_and(|by| Instant::now() >= by)
     }
 
     /// Whether the attempt's first byte must wait: the engine has not yet heard all that the process was told.
@@ -69,6 +125,9 @@
 
     /// So many more were written.
     pub fn add(&self, count: usize) {
+        if self.bytes() == 0 && count > 0 {
+            self.0.repeats.begins(self.0.attempt);
+        }
         self.0.bytes.set(self.0.bytes.get() + count);
     }
 
--- a/engine/src/socket.rs
+++ b/engine/src/socket.rs
@@ -102,7 +102,8 @@
             context.waker().wake_by_ref();
             return Poll::Pending;
         }
-        let open = io.as_mut().filter(|_| !self.0.meter.borrow().is_revoked());
+        let barred = |meter: &Meter| meter.is_revoked() || meter.is_too_late();
+        let open = io.as_mut().filter(|_| !barred(&self.0.meter.borrow()));
         let Some(io) = open else { return Poll::Ready(Err(io::ErrorKind::NotConnected.into())) };
         let written = Pin::new(io).poll_write(context, bytes);
         self.0.blocked.set(written.is_pending());
--- a/proxy/tests/program.rs
+++ b/proxy/tests/program.rs
@@ -15,6 +15,8 @@
 
 #[path = "suite/listening.rs"]
 mod listening;
+#[path = "suite/repeats.rs"]
+mod repeats;
 #[path = "suite/stopping.rs"]
 mod stopping;
 mod suite;
