Compare a frail cold server's calls with a usual one's, so that the test can fail

Seen: with fall_multiple ignored on purpose a_thousand_balancers_together_... still passed, as its bound for a multiple of 1 (1.55 parts in 40) is above what even a multiple of 3 is sent (23 of 4,000 calls). Measured: it passes, and fails with fall_multiple ignored (23 where 23).

--- a/policy/tests/rules.rs
+++ b/policy/tests/rules.rs
@@ -719,8 +719,8 @@
     assert!(cold * 100 <= all * 31 / 20, "{cold} of {all}");
     assert!(cold * 100 >= all * 8 / 20, "it is used, as calls make it warm: {cold} of {all}");
     // A site whose cold servers bear no more than what they can do.
-    let (cold, all) = cold_of_all(1.0);
-    assert!(cold * 100 <= all * 31 / 40 && cold > 0, "{cold} of {all}");
+    let (frail, _) = cold_of_all(1.0);
+    assert!(frail * 10 <= cold * 6 && frail > 0, "{frail} where {cold} go to one that bears more");
 }
 
 /// Calls of a thousand balancers to a server that has just started beside twenty warm ones, and all of theirs.
