--- a/engine/src/http1/exchange.rs
+++ b/engine/src/http1/exchange.rs
@@ -280,6 +280,7 @@
 #[cfg(test)]
 mod connection_tests {
     use super::*;
+    use crate::meter::{Fresh, Repeats};
     use std::future::Future;
     use tokio::io::AsyncReadExt;
     use tokio::net::{TcpListener, TcpStream};
@@ -323,6 +324,30 @@
         });
     }
 
+    /// The earlier of two attempts of a call has its connection only now, and the later one was written so long ago that
+    /// no repeat may follow it: nothing is written of the earlier one, until the other is known never to have run.
+    #[test]
+    fn nothing_is_written_past_the_window_of_another_attempt() {
+        run(async {
+            for (window, proven, written) in [(0, false, false), (0, true, true), (3_600, false, true)] {
+                let repeats = Repeats::new(Some(Duration::from_secs(window)));
+                let [earlier, later] = [0, 1].map(|n| Meter::new(Fresh::default(), repeats.clone(), n));
+                let (connection, _host) = pair().await;
+                later.add(1);
+                if proven {
+                    repeats.never_ran(1);
+                }
+                let request = Request::new(Outgoing::new(Bytes::from_static(b"body"), &earlier));
+                let mut exchange = Box::pin(exchange(connection, request, &earlier));
+                let polled =
+                    std::future::poll_fn(|c| Poll::Ready(exchange.as_mut().poll(c).is_pending())).await;
+                assert!(polled);
+                yield_now().await;
+                assert_eq!(earlier.bytes() > 0, written, "{window} {proven}");
+            }
+        });
+    }
+
     /// An attempt is whole when its last byte is written, with a body and without one, and not before.
     #[test]
     fn an_attempt_is_whole_when_its_last_byte_is_written() {
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -162,3 +162,24 @@
 pub fn zone(name: &str) -> ZoneId {
     ZoneId(name.bytes().fold(0x811c_9dc5, |hash, byte| (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193)))
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_a_cold_server_bears_is_the_settings_word_where_it_can_be_meant() {
+        for (rules, bears) in [
+            (r#""fall_multiple": 1.5, "#, 1.5),
+            (r#""fall_multiple": 0, "#, 2.0),
+            (r#""fall_multiple": -1, "#, 2.0),
+            ("", 2.0),
+        ] {
+            let invariants = format!(r#"{{{rules}"cold_from": 0.3, "cold_us": 1}}"#);
+            let facts =
+                format!(r#"{{"balancers": 1, "classes": [], "limits": {{}}, "invariants": {invariants}}}"#);
+            let (settings, ..) = read(&serde_json::from_str(&facts).expect("JSON")).expect("settings");
+            assert!((settings.rules.bears - bears).abs() < 1e-9, "{rules}");
+        }
+    }
+}
