A test of keys across a reload and a stop waits for its answers, not for the clock

Its eight reloads took 80 ms of sleep; clients got the rest of their answers while the old stop kept idle connections for half a second, so that the stop met no request at all. The new stop closes them at once, and the clock decided how many answers there were.

Change: each of the eight reloads waits for fifty more answers, and the stop follows; over 400 are still wanted, and now also fewer than all 960, so that the stop must meet them.

--- a/proxy/tests/cores.rs
+++ b/proxy/tests/cores.rs
@@ -14,6 +14,7 @@
 use nettleworks_standins::{
     eventually, over, request, run, Aftermath, Client, Fault, Message, Plan, Reader, Site, Storm,
 };
+use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -487,16 +488,19 @@
     run(async {
         let process = Process::start(&site);
         process.ready().await;
-        let mut asks = JoinSet::new();
+        let (mut asks, answered) = (JoinSet::new(), Rc::new(Cell::new(0)));
         for client in 0..24 {
-            let mut connection = process.client().await;
+            let (mut connection, answered) = (process.client().await, answered.clone());
             asks.spawn_local(async move {
                 let mut answers = Vec::new();
                 for call in 0..40 {
                     // Two clients a key, at the same time.
                     connection.send(&charge(&format!("{}-{call}", client / 2))).await;
                     match connection.message().await {
-                        Some(answer) => answers.push(answer.status()),
+                        Some(answer) => {
+                            answers.push(answer.status());
+                            answered.set(answered.get() + 1);
+                        }
                         // It closes between requests once it is told to stop.
                         None => break,
                     }
@@ -506,11 +510,11 @@
         }
         let again = Config::parse(&site.configuration(|_| ())).and_then(|config| config.with_keys(KEYS));
         let again = Arc::new(again.expect("a good configuration"));
-        for _ in 0..8 {
+        let last = process.key_of(3, 2, "last");
+        for round in 1..=8 {
             process.reload.send_replace(Some(again.clone()));
-            sleep(Duration::from_millis(10)).await;
+            eventually("keys cross after a reload", || answered.get() > 50 * round).await;
         }
-        let last = process.key_of(3, 2, "last");
         let mut late = process.client().await;
         assert!(process.said("configuration read again") >= SHARDS);
         let stopping = spawn_local(process.stop());
@@ -523,7 +527,7 @@
             assert!(answers.iter().all(|status| *status == 200), "{answers:?}");
             served += answers.len();
         }
-        assert!(served > 400, "{served}");
+        assert!(served > 400 && served < 24 * 40, "both the reloads and the stop met them: {served}");
     });
     assert_eq!(site.ledger.runs().values().max(), Some(&1));
 }
