What a test says on a watch waits for the watch, which may come after the first answers

A proxy serves by its known list at once, so on a slow machine a first answer may come before the stand-in has accepted the watch.

The other pushes wait for the watch themselves or are sent by proxies that have no other list.

Change: push() waits until there is a watch, and fails the test where none comes. No less is asserted. is_left() counts a connection that was reset as left, where it took it for open and the next push would have failed to be written.

--- a/standins/src/discovery.rs
+++ b/standins/src/discovery.rs
@@ -1,8 +1,10 @@
 //! Discovery that is scripted answer by answer. [`crate::Registry`] is one that keeps a list by itself.
 
 use crate::message::Reader;
+use crate::wait::eventually;
 use std::cell::RefCell;
 use std::collections::VecDeque;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::io::AsyncWriteExt;
@@ -63,11 +65,15 @@
     pub fn is_left(&self) -> bool {
         let watch = self.watch.borrow();
         let stream: &TcpStream = watch.as_ref().expect("a watch").as_ref();
-        stream.try_read(&mut [0]).is_ok_and(|count| count == 0)
+        match stream.try_read(&mut [0]) {
+            Ok(count) => count == 0,
+            Err(error) => error.kind() != ErrorKind::WouldBlock,
+        }
     }
 
-    /// Says this on the last watch.
+    /// Says this on the last watch; where there is none yet, on the first. One that never comes fails the test.
     pub async fn push(&self, text: &str) {
+        eventually("a watch to say it on", || self.watch.borrow().is_some()).await;
         let mut watch = self.watch.borrow_mut().take().expect("a watch");
         watch.write_all(text.as_bytes()).await.expect("written");
         *self.watch.borrow_mut() = Some(watch);
