Tests of the operators' log wait for the line, which another thread reads from the program

Cause: the program writes the line before it answers, but the test's log is filled by a thread of its own that reads the program's standard error; the assertion looked at once. Checked by holding that thread back 300 ms a line: three of the six tests of the file fail (the three that count lines), and with the mending none does.

Change: has_logged() waits until the line is there so many times, fails where it never comes, and then wants the very count as before. In cores.rs one look at the engines' own log after a reload waits in the same way.

--- a/proxy/tests/cores.rs
+++ b/proxy/tests/cores.rs
@@ -516,7 +516,7 @@
             eventually("keys cross after a reload", || answered.get() > 50 * round).await;
         }
         let mut late = process.client().await;
-        assert!(process.said("configuration read again") >= SHARDS);
+        eventually("all have read it", || process.said("configuration read again") >= SHARDS).await;
         let stopping = spawn_local(process.stop());
         // It is taken while the stop is under way, and its key is another shard's.
         assert_eq!(late.ask(&charge(&last)).await.status(), 200);
--- a/proxy/tests/operators.rs
+++ b/proxy/tests/operators.rs
@@ -84,8 +84,12 @@
         Running { child, socket, keys, address: address.expect("an address"), log }
     }
 
-    fn logged(&self, text: &str) -> usize {
-        self.log.lock().expect("whole").matches(text).count()
+    /// Fails unless its log has had this so many times. What the program has written reaches the log by a thread that
+    /// reads it, so it may be there a little later than an answer that was sent after it.
+    async fn has_logged(&self, text: &str, times: usize) {
+        let logged = || self.log.lock().expect("whole").matches(text).count();
+        eventually(text, || logged() >= times).await;
+        assert_eq!(logged(), times, "{text}");
     }
 
     async fn client(&self) -> Client {
@@ -165,7 +169,7 @@
         }
         let (good, text) = proxy.says(&["settle", &id, "--as", "ran", "--why", "the bank\nhas it"]).await;
         assert!(good && text.contains("settled_as"), "{text}");
-        assert_eq!(proxy.logged(r#"because "the bank\nhas it""#), 1, "one line, with who and why");
+        proxy.has_logged(r#"because "the bank\nhas it""#, 1).await;
         let text = request("unsafe", &format!("Idempotency-Key: {secret}\r\n"), "pays");
         let told = proxy.client().await.ask(&text).await;
         let body: serde_json::Value = serde_json::from_slice(&told.body).expect("an object");
@@ -237,7 +241,8 @@
             let late = outputs.iter().find(|(good, _)| !good).expect("one");
             assert!(late.1.contains("it is not unsure, but"), "{late:?}");
         }
-        assert_eq!((proxy.logged("settled by hand as"), proxy.logged("not settled by hand")), (4, 4));
+        proxy.has_logged("settled by hand as", 4).await;
+        proxy.has_logged("not settled by hand", 4).await;
     });
 }
 
@@ -278,7 +283,7 @@
             (&answer.body[..], answer.header("idempotency-replayed")),
             (&b"released"[..], Some("true"))
         );
-        assert_eq!(proxy.logged("was settled by hand as ran, and its answer has come: it holds"), 1);
+        proxy.has_logged("was settled by hand as ran, and its answer has come: it holds", 1).await;
         proxy.unsure("freed").await;
         let id = proxy.id("unsure").await;
         assert!(proxy.says(&["settle", &id, "--as", "never-ran", "--why", "x"]).await.0);
