Log each step of a watch of the server list; count why calls are refused or failed

Need: the incident's logs do not tell when a watch is opened, how long an answer takes, which list is taken in, how old a list is when a request is sent, or why a request was refused.

--- a/adapter/src/main.rs
+++ b/adapter/src/main.rs
@@ -191,14 +191,14 @@
             name.out += 1;
             Command::Route { proxy, call: name.word.clone(), host: server.0, stop_at_us: until }
         }
-        Action::Refuse { call, retry_after } => {
+        Action::Refuse { call, retry_after, .. } => {
             let name = instance.names.get_mut(&call)?;
             name.ended = true;
             let command = Command::Bounce { proxy, call: name.word.clone(), hold_off_us: retry_after };
             instance.tidy(call);
             command
         }
-        Action::Fail { call } => {
+        Action::Fail { call, .. } => {
             let name = instance.names.get_mut(&call)?;
             name.ended = true;
             let command = Command::DropRequest { proxy, call: name.word.clone() };
--- a/engine/src/discovery.rs
+++ b/engine/src/discovery.rs
@@ -32,15 +32,26 @@
     Failed(BoxError),
 }
 
+/// What a watch shows while it is open.
+#[derive(Debug)]
+pub enum Sign {
+    /// The call was answered with 200; its lists follow.
+    Answered,
+    /// A whole line or list has come: the watch is alive. Of a list it comes after [`Sign::List`].
+    Alive,
+    /// A list.
+    List(List),
+}
+
 /// Watches the list from version `since` on and passes on what comes, until the watch ends. It returns how.
 /// `pushed`: it is an agent, which never lets a call wait.
 pub async fn watch(
     discovery: SocketAddr,
     pushed: bool,
     since: Option<u64>,
-    mut news: impl FnMut(List),
+    mut seen: impl FnMut(Sign),
 ) -> End {
-    match follow(discovery, pushed, since, &mut news).await {
+    match follow(discovery, pushed, since, &mut seen).await {
         Ok(end) => end,
         Err(reason) => End::Failed(reason),
     }
@@ -50,7 +61,7 @@
     discovery: SocketAddr,
     pushed: bool,
     since: Option<u64>,
-    news: &mut impl FnMut(List),
+    seen: &mut impl FnMut(Sign),
 ) -> Result<End, BoxError> {
     let answer = if pushed { ANSWER_PUSHED } else { ANSWER_ASKED };
     let stream = timeout(CONNECT, dial(discovery)).await??;
@@ -64,6 +75,7 @@
     if response.status() != StatusCode::OK {
         return Err(format!("discovery answered {}", response.status()).into());
     }
+    seen(Sign::Answered);
     let mut body = response.into_body();
     let mut values = Values::default();
     // Where the answer is the first list, it comes with its head.
@@ -73,8 +85,9 @@
         let Some(frame) = frame else { return Ok(End::Failed(values.end().into())) };
         let Ok(data) = frame?.into_data() else { continue };
         // Bytes that never make a whole list are no sign of life.
-        if values.take(&data, |value| serde_json::from_slice(value).map(&mut *news))? {
+        if values.take(&data, |value| serde_json::from_slice(value).map(|list| seen(Sign::List(list))))? {
             alive = Instant::now();
+            seen(Sign::Alive);
         }
     }
 }
--- a/engine/src/driver/attempts.rs
+++ b/engine/src/driver/attempts.rs
@@ -20,10 +20,14 @@
     pub(super) fn carry_out(&mut self, handle: &Handle<P>, action: Action) {
         match action {
             Action::Send { call, server, until } => self.send(handle, call, server, until),
-            Action::Refuse { call, retry_after } => {
+            Action::Refuse { call, retry_after, reason } => {
+                *self.counts.refused.entry(reason).or_default() += 1;
                 self.answer(call, Reply::Refused(Duration::from_micros(retry_after)));
             }
-            Action::Fail { call } => self.answer(call, Reply::Failed),
+            Action::Fail { call, reason } => {
+                *self.counts.failed.entry(reason).or_default() += 1;
+                self.answer(call, Reply::Failed);
+            }
             Action::Cancel { call, attempt } => self.cancel(call, attempt),
             Action::Wake { after } => {
                 self.wake = Some(Instant::now() + Duration::from_micros(after));
@@ -85,6 +89,7 @@
             })
         };
         self.counts.attempts += 1;
+        self.counts.oldest_list = self.counts.oldest_list.max(self.watch.silence());
         call.attempts.push(Some(Attempt {
             server,
             address: to.address,
--- a/engine/src/driver/group.rs
+++ b/engine/src/driver/group.rs
@@ -47,12 +47,10 @@
     pub fn lead(&self) {
         let mut driver = self.0.borrow_mut();
         let leads = driver.desk.group.as_ref().is_none_or(|group| group.watches());
-        if leads && driver.watch.is_none() {
+        if leads && !driver.watch.is_open() {
             driver.subscribe(self);
-        } else if !leads && driver.watch.is_some() {
-            // What it still has to say counts no more.
-            driver.watches += 1;
-            driver.watch = None;
+        } else if !leads && driver.watch.is_open() {
+            driver.watch.close();
         }
     }
 
--- a/engine/src/driver/members.rs
+++ b/engine/src/driver/members.rs
@@ -1,23 +1,15 @@
-//! The hosts of the list, and the watch that brings it.
+//! The hosts of the list, and what a new list does to them.
 
 use super::{Driver, Handle};
-use crate::discovery::{self, End};
 use crate::list::{self, Health, List};
 use crate::mutant::{self, Mutant};
 use crate::protocol::{Protocol, Target};
-use crate::task;
 use nettleworks_policy::{self as policy, CellId, Entry, Event, ListKind, ServerId};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::task::spawn_local;
 
-/// Where the list is pushed the module never asks for it: a watch that ended is opened again after this, and twice as
-/// long with each that brought no list, up to the most. What the agent has counts as told whether or not a watch is open,
-/// and asking costs nothing there. One that fell silent is opened again at once.
-const PUSH_RETRY: Duration = Duration::from_millis(50);
-const PUSH_DOUBLINGS: u32 = 4;
-
 /// Where a list comes from.
 #[derive(Clone, Copy, Debug)]
 pub(super) enum Source {
@@ -105,10 +97,10 @@
         let mut driver = self.0.borrow_mut();
         if let Source::Watch(watch) = source {
             // A watch that was replaced may have more lines at hand; their versions are another discovery's.
-            if watch != driver.watches {
+            if watch != driver.watch.number {
                 return;
             }
-            driver.watches_failed = 0;
+            driver.watch.failed = 0;
             driver.desk.group.iter_mut().for_each(|group| group.listed(&list));
         }
         let cached = matches!(source, Source::Known);
@@ -137,6 +129,7 @@
             let started = entry.born_ms.saturating_mul(1_000);
             entries.push(Entry { server, state, zone, cell, started, weight: entry.share });
         }
+        driver.log_list(&list, kind);
         // The module hears of the list before it hears of what the list undoes.
         driver.desk.events.push_back(Event::Members { kind, entries });
         driver.withdraw();
@@ -153,42 +146,6 @@
 }
 
 impl<P: Protocol> Driver<P> {
-    pub(super) fn subscribe(&mut self, handle: &Handle<P>) {
-        if !self.desk.group.as_ref().is_none_or(|group| group.watches()) {
-            return;
-        }
-        let (handle, discovery, since) = (handle.clone(), self.desk.config.discovery, self.hosts.seq);
-        let pushed = !self.desk.config.settings.ask;
-        self.watches += 1;
-        let watch = self.watches;
-        // The task of the last watch, if there is one, ends here.
-        self.watch = Some(task::spawn(async move {
-            let end =
-                discovery::watch(discovery, pushed, since, |list| handle.members(list, Source::Watch(watch)))
-                    .await;
-            if handle.0.borrow().watches != watch {
-                return;
-            }
-            let (kind, retry) = match end {
-                End::Silent => {
-                    handle.log("discovery: the watch fell silent");
-                    (ListKind::Silent, Duration::ZERO)
-                }
-                End::Failed(reason) => {
-                    handle.log(&format!("discovery: {reason}"));
-                    let failed = &mut handle.0.borrow_mut().watches_failed;
-                    *failed += 1;
-                    (ListKind::Failed, PUSH_RETRY * (1 << (*failed - 1).min(PUSH_DOUBLINGS)))
-                }
-            };
-            handle.run([Event::Members { kind, entries: Vec::new() }]);
-            if pushed {
-                tokio::time::sleep(retry).await;
-                handle.0.borrow_mut().subscribe(&handle);
-            }
-        }));
-    }
-
     /// The number of a host. What is idle there is of no use once it moves or starts again.
     fn intern(&mut self, entry: &list::Host) -> ServerId {
         let number = self.desk.group.as_mut().map(|group| |name: &str| group.number(name));
@@ -214,8 +171,14 @@
                 Health::Terminating | Health::Gone => protocol.retire(server),
             }
         }
+        let before = desk.events.len();
         for (&id, call) in &mut desk.calls {
             call.withdraw(id, &mut desk.events, |out| hosts.ready(out.server) != Some(out.address));
         }
+        let withdrawn = (desk.events.len() - before) as u64;
+        if withdrawn > 0 {
+            self.counts.withdrawn += withdrawn;
+            self.desk.log(&format!("{withdrawn} attempts withdrawn from servers that are not ready"));
+        }
     }
 }
--- a/engine/src/driver/mod.rs
+++ b/engine/src/driver/mod.rs
@@ -6,6 +6,7 @@
 mod group;
 mod members;
 mod shown;
+mod watch;
 mod way;
 
 use crate::calls::call::Call;
@@ -17,7 +18,6 @@
 use crate::protocol::Protocol;
 use crate::state::{Observer, State};
 use crate::station::{Desk, Station};
-use crate::task::Task;
 use crate::Log;
 use members::{Hosts, Source};
 use nettleworks_policy::{Balancer, CallId, Event};
@@ -30,6 +30,7 @@
 use tokio::sync::{oneshot, Notify};
 use tokio::task::spawn_local;
 use tokio::time::{sleep_until, Instant};
+use watch::Watch;
 
 /// How often the protocol looks through what it keeps.
 const SWEEP: Duration = Duration::from_secs(1);
@@ -51,11 +52,7 @@
     balancer: Balancer,
     next_call: u64,
     hosts: Hosts,
-    watch: Option<Task>,
-    /// Number of the present watch: what an earlier one still has to say no longer counts.
-    watches: u64,
-    /// Watches in a row that failed and brought no list.
-    watches_failed: u32,
+    watch: Watch,
     /// When the module wants to be woken next.
     wake: Option<Instant>,
     counts: Counts,
@@ -156,9 +153,7 @@
             next_call: 0,
             // Its version is set before the start: the module subscribes at once, from the list it gets next.
             hosts: Hosts::new(config.known.as_ref().map(|known| known.seq)),
-            watch: None,
-            watches: 0,
-            watches_failed: 0,
+            watch: Watch::new(),
             wake: None,
             counts: Counts::default(),
             observer: None,
--- a/engine/src/driver/shown.rs
+++ b/engine/src/driver/shown.rs
@@ -3,8 +3,9 @@
 use super::Driver;
 use crate::protocol::Protocol;
 use crate::state::{HostState, State};
-use nettleworks_policy::{Outcome, ServerId};
+use nettleworks_policy::{GivenUp, Outcome, ServerId};
 use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
 
 /// Figures so far.
 #[derive(Debug, Default)]
@@ -12,6 +13,13 @@
     pub requests: u64,
     pub attempts: u64,
     pub outcomes: BTreeMap<Outcome, u64>,
+    /// Calls that the module has refused, and those that it has failed, by its reason.
+    pub refused: BTreeMap<GivenUp, u64>,
+    pub failed: BTreeMap<GivenUp, u64>,
+    /// Attempts that were taken back unwritten, as a list did not name their server ready any more.
+    pub withdrawn: u64,
+    /// The longest time for which no watch had shown that it was alive when an attempt began.
+    pub oldest_list: Duration,
 }
 
 impl<P: Protocol> Driver<P> {
--- a/policy/src/api.rs
+++ b/policy/src/api.rs
@@ -397,6 +397,21 @@
     Timer,
 }
 
+/// Why the balancer ends a call unserved.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum GivenUp {
+    /// Those that wait already would keep it waiting for too long.
+    QueueFull,
+    /// It has waited for as long as an answer could still come in time.
+    WaitedTooLong,
+    /// All servers are set aside.
+    ServersDown,
+    /// Its attempt has failed, and it may not go again, or not in time.
+    NoRetry,
+    /// A server found it unusable.
+    Unusable,
+}
+
 /// What the balancer tells the proxy to do.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
@@ -415,11 +430,15 @@
         call: CallId,
         /// Advice when.
         retry_after: Micros,
+        /// Why it is not served.
+        reason: GivenUp,
     },
     /// End the call with an error that promises nothing.
     Fail {
         /// Which call.
         call: CallId,
+        /// Why it is not served.
+        reason: GivenUp,
     },
     /// Call off an attempt.
     Cancel {
--- a/policy/src/balance.rs
+++ b/policy/src/balance.rs
@@ -385,7 +385,7 @@
         let over_share = tenant.is_some_and(|t| self.over_share(t));
         let waited = self.hold.front().map_or(0, |head| now.saturating_sub(self.calls[head].arrived));
         if waited > self.wait_limit(id, over_share) {
-            self.give_up(id, waited, actions);
+            self.give_up(id, waited, GivenUp::QueueFull, actions);
         } else {
             self.enqueue(now, id, false);
         }
@@ -457,7 +457,7 @@
         } else if self.calls.get(&id).is_some_and(|c| !c.ended && !c.held && c.out() == 0) {
             if outcome == Outcome::Unusable {
                 // It would fare alike everywhere, and the client is not to come again with it.
-                actions.push(Action::Fail { call: id });
+                actions.push(Action::Fail { call: id, reason: GivenUp::Unusable });
                 self.end(id);
             } else {
                 self.again(now, id, outcome, actions);
@@ -642,17 +642,17 @@
             self.retries = (self.retries - 1.0).max(0.0);
             self.enqueue(now, id, true);
         } else {
-            self.give_up(id, self.first_backoff(), actions);
+            self.give_up(id, self.first_backoff(), GivenUp::NoRetry, actions);
         }
     }
 
-    fn give_up(&mut self, id: CallId, retry_after: Micros, actions: &mut Actions) {
+    fn give_up(&mut self, id: CallId, retry_after: Micros, reason: GivenUp, actions: &mut Actions) {
         let retry_after = retry_after.min(self.settings.limits.max_retry_after);
         let refused = self.calls[&id].may_be_refused();
         actions.push(if refused {
-            Action::Refuse { call: id, retry_after }
+            Action::Refuse { call: id, retry_after, reason }
         } else {
-            Action::Fail { call: id }
+            Action::Fail { call: id, reason }
         });
         self.end(id);
         self.cancel_others(id, None, actions);
@@ -810,7 +810,7 @@
                     self.take(index);
                     self.send(now, id, server, trial, actions);
                 }
-                Route::Refuse { retry_after } => self.give_up(id, retry_after, actions),
+                Route::Refuse { retry_after } => self.give_up(id, retry_after, GivenUp::ServersDown, actions),
                 // Arrival order: the first that stays keeps the rest, unless bound to some servers.
                 Route::Hold if self.calls[&id].binding().is_some() && index < LOOK_PAST => index += 1,
                 Route::Hold => break,
@@ -828,7 +828,8 @@
         while let Some(&(_, id)) = self.wakes.first().filter(|wake| wake.0 <= now) {
             self.set_wake(id, 0);
             if self.calls[&id].held {
-                self.give_up(id, now.saturating_sub(self.calls[&id].arrived), actions);
+                let waited = now.saturating_sub(self.calls[&id].arrived);
+                self.give_up(id, waited, GivenUp::WaitedTooLong, actions);
             } else {
                 self.second_copy(now, id, actions);
             }
--- a/policy/src/state.rs
+++ b/policy/src/state.rs
@@ -1,4 +1,4 @@
-//! What the decision module keeps of calls and attempts: types and look-ups, every decision is in `balance.rs`.
+//! What the decision module keeps of calls and attempts: types and look-ups. It decides nothing.
 
 use crate::api::*;
 
