--- /dev/null
+++ b/standins/src/relay.rs
@@ -0,0 +1,158 @@
+//! A relay for TCP that stands between a proxy and what it talks to, and does harm on the way.
+
+use crate::message::Reader;
+use socket2::SockRef;
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+/// Most bytes that are passed on at a time.
+const PIECE: usize = 4 << 10;
+/// An answer that refuses a call.
+const REFUSAL: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
+
+/// What meets a new connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Arrival {
+    /// It is passed on.
+    Passes,
+    /// Its request is answered 503 after this time.
+    Refused(Duration),
+    /// It stays open and is never answered.
+    Hangs,
+    /// It is reset.
+    Reset,
+}
+
+/// What happens to the connections that are open.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Harm {
+    None,
+    /// They stay open, and nothing passes any more.
+    Silence,
+    /// They are reset when so many more bytes have come from the target.
+    ResetAfter(usize),
+}
+
+/// A relay before one address. Connections are passed on until something else is asked for.
+#[derive(Clone, Debug)]
+pub struct Relay {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Connections so far.
+    pub accepted: Rc<Cell<usize>>,
+    arrival: Rc<Cell<Arrival>>,
+    harm: Rc<RefCell<watch::Sender<Harm>>>,
+}
+
+impl Relay {
+    /// A relay before this address.
+    pub async fn start(target: SocketAddr) -> Relay {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let relay = Relay {
+            address: listener.local_addr().expect("an address"),
+            accepted: Rc::default(),
+            arrival: Rc::new(Cell::new(Arrival::Passes)),
+            harm: Rc::new(RefCell::new(watch::Sender::new(Harm::None))),
+        };
+        let serving = relay.clone();
+        spawn_local(async move {
+            while let Ok((near, _)) = listener.accept().await {
+                serving.accepted.set(serving.accepted.get() + 1);
+                spawn_local(meet(near, target, serving.arrival.get(), serving.harm.borrow().subscribe()));
+            }
+        });
+        relay
+    }
+
+    /// What new connections meet from now on.
+    pub fn arrivals(&self, arrival: Arrival) {
+        self.arrival.set(arrival);
+    }
+
+    /// The connections that are open fall silent: they stay open, and nothing passes on them any more.
+    pub fn silence(&self) {
+        self.harm(Harm::Silence);
+    }
+
+    /// Each connection that is open is reset when so many more bytes have come from the target.
+    pub fn reset_after(&self, bytes: usize) {
+        self.harm(Harm::ResetAfter(bytes));
+    }
+
+    /// Does harm to the connections that are open now, and to no later one.
+    fn harm(&self, harm: Harm) {
+        self.harm.replace(watch::Sender::new(Harm::None)).send_replace(harm);
+    }
+}
+
+async fn meet(near: TcpStream, target: SocketAddr, arrival: Arrival, harm: watch::Receiver<Harm>) {
+    match arrival {
+        Arrival::Passes => {
+            if let Ok(far) = TcpStream::connect(target).await {
+                pass(near, far, harm).await;
+            }
+        }
+        Arrival::Refused(after) => {
+            let mut reader = Reader::new(near);
+            if reader.message().await.is_some() {
+                sleep(after).await;
+                // It may have gone.
+                let _ = reader.stream.write_all(REFUSAL).await;
+            }
+        }
+        Arrival::Hangs => {
+            let mut near = near;
+            while near.read(&mut [0; PIECE]).await.is_ok_and(|count| count > 0) {}
+        }
+        Arrival::Reset => reset(&near),
+    }
+}
+
+/// A connection without time to linger is reset when it is closed.
+fn reset(stream: &TcpStream) {
+    let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
+}
+
+/// Passes on what comes either way until a side ends, or what harm asks for.
+async fn pass(mut near: TcpStream, mut far: TcpStream, mut harm: watch::Receiver<Harm>) {
+    let mut left = None;
+    loop {
+        let (mut up, mut down) = ([0; PIECE], [0; PIECE]);
+        tokio::select! {
+            // The sender goes when it has asked for something; what it asked for last stays to be seen.
+            changed = harm.changed(), if left.is_none() => match (changed, *harm.borrow_and_update()) {
+                (_, Harm::ResetAfter(bytes)) => left = Some(bytes),
+                (_, Harm::Silence) => {
+                    while near.read(&mut up).await.is_ok_and(|count| count > 0) {}
+                    return;
+                }
+                (Err(_), Harm::None) => return,
+                (Ok(()), Harm::None) => {}
+            },
+            read = near.read(&mut up) => match read {
+                Ok(count) if count > 0 && far.write_all(&up[..count]).await.is_ok() => {}
+                _ => return,
+            },
+            read = far.read(&mut down) => {
+                let Ok(count) = read else { return reset(&near) };
+                let passed = left.map_or(count, |left| count.min(left));
+                if near.write_all(&down[..passed]).await.is_err() || count == 0 {
+                    return;
+                }
+                if let Some(left) = &mut left {
+                    *left -= passed;
+                    if *left == 0 {
+                        return reset(&near);
+                    }
+                }
+            }
+        }
+    }
+}
