--- a/engine/src/discovery.rs
+++ b/engine/src/discovery.rs
@@ -2,33 +2,51 @@
 
 use crate::dial::{dial, BoxError};
 use crate::list::List;
-use crate::task;
+use crate::task::{self, Task};
 use http_body_util::{BodyExt, Empty};
-use hyper::body::Bytes;
-use hyper::{header, Request, StatusCode};
+use hyper::body::{Bytes, Incoming};
+use hyper::{header, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use std::future::Future;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::time::Duration;
 use tokio::time::{timeout, timeout_at, Instant};
 
-/// A heartbeat comes every 2 s: a watch on which two of them and a quarter bring nothing whole is taken for dead. What
-/// it hid counts as told 6 s after it fell silent, and until then another one has to be open.
-const SILENCE: Duration = Duration::from_millis(4_500);
+/// A heartbeat comes every 2 s: a watch on which one of them and a half bring nothing whole is taken for dead. What it hid
+/// counts as notified 6 s after it fell silent: what is left is for another one to be opened.
+const SILENCE: Duration = Duration::from_secs(3);
 /// Time for a connection to discovery. Nobody queues there.
 const CONNECT: Duration = Duration::from_secs(1);
-/// Time for the answer of one that works through its calls in turn.
-const ANSWER_ASKED: Duration = Duration::from_secs(5);
-/// The same of an agent that pushes, which answers at once.
-const ANSWER_PUSHED: Duration = Duration::from_secs(1);
+/// A call that failed after this or more found nobody who answers. One that is refused sooner was read and refused.
+const RAN_OUT: Duration = Duration::from_secs(1);
 /// Longest list; a longer one is not that of any fleet that one proxy serves.
 const LIST_MOST: usize = 4 << 20;
 
+/// How long an answer is waited for.
+#[derive(Clone, Copy, Debug)]
+pub struct Patience {
+    /// In all.
+    answer: Duration,
+    /// After this a second call is made beside the first, whose connection may be dead. The first to be answered counts.
+    hedge: Duration,
+}
+
+/// Discovery that works through its calls in turn: what waits longer than two seconds is rare, and a second call adds to
+/// what keeps the first waiting.
+const ASKED: Patience =
+    Patience { answer: Duration::from_millis(4_500), hedge: Duration::from_millis(2_250) };
+/// An agent that pushes, which answers at once. What it has counts as notified, with a second's grace.
+const PUSHED: Patience = Patience { answer: Duration::from_millis(700), hedge: Duration::from_millis(350) };
+
 /// How a watch ended.
 #[derive(Debug)]
 pub enum End {
     /// It was open, and nothing came for too long: it is not known since when it tells nothing.
     Silent,
-    /// The connection broke or ended or never came up, the answer was not 200 or did not come, or what came is no list.
+    /// There was nobody to answer the call: no connection came up, or it was let run out.
+    Unreachable(BoxError),
+    /// The connection broke or ended, the call was refused or not answered in time, or what came is no list.
     Failed(BoxError),
 }
 
@@ -51,32 +69,90 @@
     since: Option<u64>,
     mut seen: impl FnMut(Sign),
 ) -> End {
-    match follow(discovery, pushed, since, &mut seen).await {
+    let began = Instant::now();
+    let call = || call(discovery, since);
+    let answer = match hedged(call, if pushed { PUSHED } else { ASKED }).await {
+        Ok(answer) => answer,
+        Err(Unanswered::NoConnection(reason)) => return End::Unreachable(reason),
+        Err(Unanswered::Refused(reason)) if began.elapsed() >= RAN_OUT => return End::Unreachable(reason),
+        Err(Unanswered::Refused(reason)) => return End::Failed(reason),
+        Err(Unanswered::TimedOut) => return End::Failed("no answer in time".into()),
+    };
+    seen(Sign::Answered);
+    match follow(answer, &mut seen).await {
         Ok(end) => end,
         Err(reason) => End::Failed(reason),
     }
 }
 
-async fn follow(
-    discovery: SocketAddr,
-    pushed: bool,
-    since: Option<u64>,
-    seen: &mut impl FnMut(Sign),
-) -> Result<End, BoxError> {
-    let answer = if pushed { ANSWER_PUSHED } else { ANSWER_ASKED };
-    let stream = timeout(CONNECT, dial(discovery)).await??;
-    let (mut sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await?;
-    let _connection = task::spawn(connection);
+/// A call that was answered with 200, and the task of its connection.
+struct Answer {
+    body: Incoming,
+    _connection: Task,
+}
+
+/// Why a call has no answer to follow.
+enum Unanswered {
+    /// No connection came up.
+    NoConnection(BoxError),
+    /// The connection broke before an answer, or the answer was not 200.
+    Refused(BoxError),
+    /// Nothing came in time.
+    TimedOut,
+}
+
+async fn call(discovery: SocketAddr, since: Option<u64>) -> Result<Answer, Unanswered> {
+    let refused = |error: BoxError| Unanswered::Refused(error);
+    let stream = match timeout(CONNECT, dial(discovery)).await {
+        Ok(Ok(stream)) => stream,
+        Ok(Err(error)) => return Err(Unanswered::NoConnection(error.into())),
+        Err(elapsed) => return Err(Unanswered::NoConnection(elapsed.into())),
+    };
+    let handshake = hyper::client::conn::http1::handshake(TokioIo::new(stream));
+    let (mut sender, connection) = handshake.await.map_err(|error| refused(error.into()))?;
+    let connection = task::spawn(connection);
     let since = since.map(|seq| format!("&since={seq}")).unwrap_or_default();
     let request = Request::get(format!("/catalog/members?follow=1{since}"))
         .header(header::HOST, discovery.to_string())
-        .body(Empty::<Bytes>::new())?;
-    let response = timeout(answer, sender.send_request(request)).await??;
+        .body(Empty::<Bytes>::new())
+        .map_err(|error| refused(error.into()))?;
+    let response: Response<Incoming> =
+        sender.send_request(request).await.map_err(|error| refused(error.into()))?;
     if response.status() != StatusCode::OK {
-        return Err(format!("discovery answered {}", response.status()).into());
+        return Err(refused(format!("discovery answered {}", response.status()).into()));
     }
-    seen(Sign::Answered);
-    let mut body = response.into_body();
+    Ok(Answer { body: response.into_body(), _connection: connection })
+}
+
+/// Makes a call, and another beside it where the first is not answered soon.
+async fn hedged<F>(call: impl Fn() -> F, patience: Patience) -> Result<Answer, Unanswered>
+where
+    F: Future<Output = Result<Answer, Unanswered>>,
+{
+    let both = async {
+        let mut first = pin!(call());
+        if let Ok(done) = timeout(patience.hedge, &mut first).await {
+            return done;
+        }
+        let mut second = pin!(call());
+        // In this order, not in one drawn anew: the same events make the same course.
+        tokio::select! {
+            biased;
+            done = &mut first => match done {
+                Ok(answer) => Ok(answer),
+                Err(_) => second.await,
+            },
+            done = &mut second => match done {
+                Ok(answer) => Ok(answer),
+                Err(_) => first.await,
+            },
+        }
+    };
+    timeout(patience.answer, both).await.unwrap_or(Err(Unanswered::TimedOut))
+}
+
+async fn follow(answer: Answer, seen: &mut impl FnMut(Sign)) -> Result<End, BoxError> {
+    let Answer { mut body, _connection } = answer;
     let mut values = Values::default();
     // Where the answer is the first list, it comes with its head.
     let mut alive = Instant::now();
--- a/engine/src/driver/group.rs
+++ b/engine/src/driver/group.rs
@@ -15,6 +15,7 @@
             let now = self.desk.clock.at(tokio::time::Instant::now());
             group.settle(now, &self.balancer, &mut self.desk.events);
         }
+        self.heed_lease();
     }
 }
 
@@ -49,6 +50,8 @@
         let leads = driver.desk.group.as_ref().is_none_or(|group| group.watches());
         if leads && !driver.watch.is_open() {
             driver.subscribe(self);
+            drop(driver);
+            self.watch_is_lost();
         } else if !leads && driver.watch.is_open() {
             driver.watch.close();
         }
--- a/engine/src/driver/members.rs
+++ b/engine/src/driver/members.rs
@@ -1,6 +1,7 @@
 //! The hosts of the list, and what a new list does to them.
 
 use super::{Driver, Handle};
+use crate::calls::call::Attempt;
 use crate::list::{self, Health, List};
 use crate::mutant::{self, Mutant};
 use crate::protocol::{Protocol, Target};
@@ -132,6 +133,9 @@
         driver.log_list(&list, kind);
         // The module hears of the list before it hears of what the list undoes.
         driver.desk.events.push_back(Event::Members { kind, entries });
+        if matches!(source, Source::Group) {
+            driver.heed_lease_again();
+        }
         driver.withdraw();
         let hosts = &mut driver.hosts;
         hosts.by_number.retain(|_, host| host.health != Health::Gone);
@@ -161,9 +165,9 @@
         server
     }
 
-    /// Takes back what is not yet written to hosts that are not ready, or no longer there, and closes what is
-    /// idle: a send counts when it is written, not when it was decided.
-    fn withdraw(&mut self) {
+    /// Takes back what is not yet written to hosts that are not ready, or no longer there, or by a list that has expired,
+    /// and closes what is idle at those: a send counts when it is written, not when it was decided.
+    pub(super) fn withdraw(&mut self) {
         let Driver { desk, hosts, protocol, .. } = self;
         for (&server, host) in &hosts.by_number {
             match host.health {
@@ -171,9 +175,10 @@
                 Health::Terminating | Health::Gone => protocol.retire(server),
             }
         }
-        let before = desk.events.len();
+        let (before, expired) = (desk.events.len(), self.fresh.has_expired());
         for (&id, call) in &mut desk.calls {
-            call.withdraw(id, &mut desk.events, |out| hosts.ready(out.server) != Some(out.address));
+            let unwanted = |out: &Attempt| expired || hosts.ready(out.server) != Some(out.address);
+            call.withdraw(id, &mut desk.events, unwanted);
         }
         let withdrawn = (desk.events.len() - before) as u64;
         if withdrawn > 0 {
--- a/engine/src/driver/mod.rs
+++ b/engine/src/driver/mod.rs
@@ -20,7 +20,7 @@
 use crate::station::{Desk, Station};
 use crate::Log;
 use members::{Hosts, Source};
-use nettleworks_policy::{Balancer, CallId, Event};
+use nettleworks_policy::{Balancer, CallId, Event, Freshness, Micros};
 use shown::Counts;
 use std::any::Any;
 use std::cell::RefCell;
@@ -57,8 +57,12 @@
     wake: Option<Instant>,
     counts: Counts,
     observer: Option<Box<dyn Observer>>,
-    /// Whether this engine has heard all that its process was told.
+    /// Whether the list that this engine has may be written by.
     fresh: Fresh,
+    /// When that list expires, as the module has last said.
+    expires_at: Option<Micros>,
+    /// That moment has come, and what was not written was taken back.
+    expired: bool,
     /// A panic has left it half way through a change.
     torn: bool,
 }
@@ -158,12 +162,15 @@
             counts: Counts::default(),
             observer: None,
             fresh,
+            expires_at: None,
+            expired: false,
             torn: false,
         };
         let handle = Handle(Rc::new(RefCell::new(driver)));
         handle.run([Event::Start]);
         if let Some(known) = config.known.clone() {
             handle.members(known, Source::Known);
+            handle.list_is_from_before();
         }
         if !config.settings.ask {
             handle.0.borrow_mut().subscribe(&handle);
@@ -225,6 +232,8 @@
         stations.iter_mut().for_each(|station| station.reload(&desk.config));
         if moved {
             driver.subscribe(self);
+            drop(driver);
+            self.run([Event::Freshness(Freshness::DiscoveryMoved)]);
         }
     }
 
@@ -348,6 +357,7 @@
             }
             let now = driver.desk.now();
             driver.balancer.handle(now, event, &mut actions);
+            driver.heed_expiry();
             for action in actions.drain(..) {
                 driver.carry_out(self, action);
             }
--- a/engine/src/driver/watch.rs
+++ b/engine/src/driver/watch.rs
@@ -3,18 +3,26 @@
 use super::members::Source;
 use super::{Driver, Handle};
 use crate::discovery::{self, End, Sign};
+use crate::group::Lease;
 use crate::list::{Health, List};
 use crate::protocol::Protocol;
 use crate::task::{self, Task};
-use nettleworks_policy::{Event, ListKind};
+use nettleworks_policy::{Event, Freshness, ListKind, Micros};
 use std::time::Duration;
 use tokio::time::Instant;
 
 /// Where the list is pushed the module never asks for it: a watch that ended is opened again after this, and twice as
 /// long with each that brought no list, up to the most. What the agent has counts as told whether or not a watch is open,
 /// and asking costs nothing there. One that fell silent is opened again at once.
+/// With the time for an answer that is well within the grace for what the agent has.
 const PUSH_RETRY: Duration = Duration::from_millis(50);
-const PUSH_DOUBLINGS: u32 = 4;
+const PUSH_DOUBLINGS: u32 = 1;
+/// Heartbeats after which a watch that has brought no list proves that nothing has changed: the first may have been
+/// written before its list.
+const BEATS_PROVE: u32 = 2;
+
+/// What was changed while a process was restarted counts from when it went down: a restart takes this long at the most.
+const RESTART_MOST: Micros = 1_500_000;
 
 /// The present watch.
 pub(super) struct Watch {
@@ -24,8 +32,14 @@
     pub failed: u32,
     /// When it was opened.
     opened: Instant,
-    /// When a watch last showed that it was alive; the start of the engine before the first.
+    /// When a watch last proved that the list was up to date; the start of the engine before the first.
     alive: Instant,
+    /// When the last call began that could not reach discovery.
+    unreached: Option<Instant>,
+    /// Heartbeats of the present one; a list counts for as many as prove.
+    beats: u32,
+    /// What the engine that watches for the process has last published.
+    shared: Option<Lease>,
     task: Option<Task>,
 }
 
@@ -33,7 +47,16 @@
     /// Before the first is opened.
     pub fn new() -> Watch {
         let now = Instant::now();
-        Watch { number: 0, failed: 0, opened: now, alive: now, task: None }
+        Watch {
+            number: 0,
+            failed: 0,
+            opened: now,
+            alive: now,
+            unreached: None,
+            beats: 0,
+            shared: None,
+            task: None,
+        }
     }
 
     /// Whether one was opened and not closed by [`Watch::close`].
@@ -47,6 +70,21 @@
         self.task = None;
     }
 
+    /// The present watch is alive. Whether that proves the list.
+    fn beat(&mut self, listed: bool) -> bool {
+        self.beats = self.beats.saturating_add(if listed { BEATS_PROVE } else { 1 });
+        let proves = self.beats >= BEATS_PROVE;
+        if proves {
+            self.alive = Instant::now();
+        }
+        proves
+    }
+
+    /// From when on a change may have been missed that discovery could have told.
+    fn unverified_since(&self) -> Instant {
+        self.unreached.map_or(self.alive, |unreached| self.alive.max(unreached))
+    }
+
     /// For how long no watch has shown that it is alive: as old the list may be.
     pub fn silence(&self) -> Duration {
         self.alive.elapsed()
@@ -63,6 +101,7 @@
         let pushed = !self.desk.config.settings.ask;
         self.watch.number += 1;
         self.watch.opened = Instant::now();
+        self.watch.beats = 0;
         let number = self.watch.number;
         let (from, silence) = (since.map_or("none".to_owned(), |seq| seq.to_string()), self.watch.silence());
         self.desk.log(&format!("watch {number}: opened from version {from}, last alive {silence:.3?} ago"));
@@ -77,6 +116,62 @@
         }));
     }
 
+    /// Heeds what the module has made of the list's lease. Once it has expired nothing is written by it: what is not yet
+    /// written is taken back, and the gate at the socket holds for whatever is decided in the same moment.
+    pub(super) fn heed_expiry(&mut self) {
+        let at = self.balancer.list_expires_at();
+        if at != self.expires_at {
+            self.publish_lease();
+            let instant = at.map(|at| self.desk.clock.instant(at));
+            self.fresh.expires(instant);
+            let left = instant.map(|at| at.saturating_duration_since(Instant::now()));
+            self.desk.log(&match left {
+                Some(left) => format!("list: not verified, expires in {left:.3?}"),
+                None => "list: verified".to_owned(),
+            });
+            self.expires_at = at;
+            self.expired = false;
+        }
+        if !self.expired && self.fresh.has_expired() {
+            self.expired = true;
+            self.desk.log("list: expired, nothing new is sent until it is verified");
+            self.withdraw();
+        }
+    }
+
+    /// Tells the other engines of the process what this one's watch knows of the list.
+    fn publish_lease(&mut self) {
+        let expires = self.balancer.list_expires_at().map(|at| self.desk.clock.instant(at));
+        let lease = Lease { alive: self.watch.unverified_since(), expires };
+        if let Some(group) = self.desk.group.as_mut().filter(|group| group.watches()) {
+            group.publish(lease);
+        }
+    }
+
+    /// Heeds what the engine that watches for all has found of the list, ahead of whatever is to be decided by it.
+    pub(super) fn heed_lease(&mut self) {
+        let Some(group) = self.desk.group.as_ref().filter(|group| !group.watches()) else { return };
+        let Some(lease) = group.lease().filter(|lease| Some(*lease) != self.watch.shared) else { return };
+        let expires = |lease: Lease| lease.expires;
+        if self.watch.shared.map(expires) != Some(lease.expires) {
+            let at = lease.expires.map(|at| self.desk.clock.at(at));
+            self.desk.events.push_front(Event::Freshness(Freshness::Expires { at }));
+        }
+        self.watch.shared = Some(lease);
+        self.watch.alive = self.watch.alive.max(lease.alive);
+    }
+
+    /// A list that another engine's watch brought proves nothing here: that watch may have been lost since. The module is
+    /// to hear of the lease again behind it.
+    pub(super) fn heed_lease_again(&mut self) {
+        let lease = self.desk.group.as_ref().filter(|group| !group.watches()).and_then(|group| group.lease());
+        if let Some(lease) = lease {
+            let at = lease.expires.map(|at| self.desk.clock.at(at));
+            self.desk.events.push_back(Event::Freshness(Freshness::Expires { at }));
+            self.watch.shared = Some(lease);
+        }
+    }
+
     /// Writes what a list says to the log.
     pub(super) fn log_list(&self, list: &List, kind: ListKind) {
         let count = |health| list.hosts.iter().filter(|host| host.health == health).count();
@@ -90,6 +185,27 @@
 }
 
 impl<P: Protocol> Handle<P> {
+    /// The list is from before the start: until it is verified it is as after a watch that was lost when the process went
+    /// down.
+    pub(super) fn list_is_from_before(&self) {
+        self.unverified(RESTART_MOST);
+    }
+
+    /// The engine that watched for the process answers no more.
+    pub(super) fn watch_is_lost(&self) {
+        self.unverified(0);
+    }
+
+    /// So much time before the last proof changes may have been missed.
+    fn unverified(&self, before: Micros) {
+        let proven = {
+            let driver = self.0.borrow();
+            driver.desk.clock.at(driver.watch.unverified_since())
+        };
+        let since = proven.saturating_sub(before);
+        self.run([Event::Freshness(Freshness::Unverified { since })]);
+    }
+
     fn watch_shows(&self, number: u64, sign: Sign) {
         if self.0.borrow().watch.number != number {
             return;
@@ -99,34 +215,57 @@
                 let took = self.0.borrow().watch.opened.elapsed();
                 self.log(&format!("watch {number}: answered after {took:.3?}"));
             }
-            Sign::Alive => self.0.borrow_mut().watch.alive = Instant::now(),
-            Sign::List(list) => self.members(list, Source::Watch(number)),
+            Sign::Alive => {
+                let mut driver = self.0.borrow_mut();
+                let proves = driver.watch.beat(false);
+                let verifies = proves && driver.balancer.list_expires_at().is_some();
+                if proves && !verifies {
+                    driver.publish_lease();
+                }
+                drop(driver);
+                if verifies {
+                    self.run([Event::Freshness(Freshness::Verified)]);
+                }
+            }
+            Sign::List(list) => {
+                self.members(list, Source::Watch(number));
+                let mut driver = self.0.borrow_mut();
+                driver.watch.beat(true);
+                driver.publish_lease();
+            }
         }
     }
 
     /// A watch has ended. When the next one is to be opened, unless it was replaced meanwhile.
     fn watch_ended(&self, number: u64, end: End) -> Option<Duration> {
-        let (kind, retry) = {
-            let mut driver = self.0.borrow_mut();
-            if driver.watch.number != number {
-                return None;
-            }
-            let (open, silence) = (driver.watch.opened.elapsed(), driver.watch.silence());
-            let since = format!("opened {open:.3?} ago, last alive {silence:.3?} ago");
-            match end {
-                End::Silent => {
-                    driver.desk.log(&format!("watch {number}: fell silent, {since}"));
-                    (ListKind::Silent, Duration::ZERO)
-                }
-                End::Failed(reason) => {
-                    driver.desk.log(&format!("watch {number}: failed: {reason}, {since}"));
-                    driver.watch.failed += 1;
-                    let doublings = (driver.watch.failed - 1).min(PUSH_DOUBLINGS);
-                    (ListKind::Failed, PUSH_RETRY * (1 << doublings))
-                }
+        let mut driver = self.0.borrow_mut();
+        if driver.watch.number != number {
+            return None;
+        }
+        let (open, silence) = (driver.watch.opened.elapsed(), driver.watch.silence());
+        let (what, kind) = match &end {
+            End::Silent => ("fell silent".to_owned(), ListKind::Silent),
+            End::Unreachable(reason) => (format!("discovery not reached: {reason}"), ListKind::Failed),
+            End::Failed(reason) => (format!("failed: {reason}"), ListKind::Failed),
+        };
+        let line = format!("watch {number}: {what}, opened {open:.3?} ago, last alive {silence:.3?} ago");
+        driver.desk.log(&line);
+        let retry = match kind {
+            ListKind::Silent => Duration::ZERO,
+            _ => {
+                driver.watch.failed += 1;
+                PUSH_RETRY * (1 << (driver.watch.failed - 1).min(PUSH_DOUBLINGS))
             }
         };
-        self.run([Event::Members { kind, entries: Vec::new() }]);
+        let clock = driver.desk.clock;
+        let since = clock.at(driver.watch.unverified_since());
+        let unreachable = matches!(end, End::Unreachable(_)).then(|| {
+            driver.watch.unreached = Some(driver.watch.opened);
+            Freshness::Unreachable { since: clock.at(driver.watch.opened) }
+        });
+        drop(driver);
+        let freshness = std::iter::once(Freshness::Unverified { since }).chain(unreachable);
+        self.run(freshness.map(Event::Freshness).chain([Event::Members { kind, entries: Vec::new() }]));
         Some(retry)
     }
 }
--- a/engine/src/group.rs
+++ b/engine/src/group.rs
@@ -9,10 +9,20 @@
 use nettleworks_policy::{Balancer, Event, Load, Micros, News, ServerId};
 use std::any::Any;
 use std::collections::VecDeque;
+use tokio::time::Instant;
 
 /// A call's place at a host; dropped, it is free.
 pub type Place = Box<dyn Any>;
 
+/// How far the list may be trusted that all engines of the process send by, as the one that watches it knows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Lease {
+    /// When a watch last proved that the list was up to date.
+    pub alive: Instant,
+    /// When nothing new may be sent by it any more; `None`: a watch is open and alive.
+    pub expires: Option<Instant>,
+}
+
 /// What several engines of one process have in common, as one of them sees it.
 ///
 /// All of it runs on the engine's thread. No method may block, or call the engine: it is called from within.
@@ -23,6 +33,12 @@
     /// This engine's own watch has brought this.
     fn listed(&mut self, list: &List);
 
+    /// What this engine, which watches, knows of the list's lease.
+    fn publish(&mut self, lease: Lease);
+
+    /// What the engine that watches has last published; `None`: nothing so far.
+    fn lease(&self) -> Option<Lease>;
+
     /// The number of a host, the same at every engine.
     fn number(&mut self, name: &str) -> ServerId;
 
--- a/engine/src/http1/mod.rs
+++ b/engine/src/http1/mod.rs
@@ -176,7 +176,8 @@
         };
         let Some((end, connection)) = end else {
             // That it came too late says nothing of the host.
-            let outcome = if meter.is_too_late() { Outcome::NotSent } else { Outcome::NoConnection };
+            let late = meter.is_too_late() || meter.has_expired();
+            let outcome = if late { Outcome::NotSent } else { Outcome::NoConnection };
             return End::without_answer(outcome);
         };
         connection.into_iter().for_each(|connection| self.keep(to, connection));
--- a/engine/src/meter.rs
+++ b/engine/src/meter.rs
@@ -7,10 +7,14 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// Whether the process knows more of the list than this engine has taken in. Rule 3 (nothing new to a host that drains)
-/// counts from when the process was told: an engine that is behind writes nothing new until it has caught up.
+/// Whether the list that this engine decides by may be written by. Rule 3 (nothing new to a host that drains) counts
+/// from when the process was told: an engine that is behind what its process knows writes nothing new until it has caught
+/// up, and one whose list has expired writes nothing new at all.
 #[derive(Clone, Debug, Default)]
-pub struct Fresh(Option<Rc<Known>>);
+pub struct Fresh {
+    known: Option<Rc<Known>>,
+    expires: Rc<Cell<Option<Instant>>>,
+}
 
 #[derive(Debug)]
 struct Known {
@@ -21,18 +25,28 @@
 impl Fresh {
     /// Of an engine whose process counts in `told` what it was told.
     pub fn new(told: Arc<AtomicU64>) -> Fresh {
-        Fresh(Some(Rc::new(Known { told, taken: Cell::new(0) })))
+        Fresh { known: Some(Rc::new(Known { told, taken: Cell::new(0) })), expires: Rc::default() }
+    }
+
+    /// Sets when the list expires; `None`: it is verified.
+    pub fn expires(&self, at: Option<Instant>) {
+        self.expires.set(at);
+    }
+
+    /// Whether the list has expired.
+    pub fn has_expired(&self) -> bool {
+        self.expires.get().is_some_and(|at| Instant::now() >= at)
     }
 
     /// This engine has taken in all up to here.
     pub fn taken(&self, up_to: u64) {
-        if let Some(known) = &self.0 {
+        if let Some(known) = &self.known {
             known.taken.set(up_to);
         }
     }
 
     fn is_behind(&self) -> bool {
-        self.0.as_ref().is_some_and(|known| known.told.load(Ordering::Acquire) > known.taken.get())
+        self.known.as_ref().is_some_and(|known| known.told.load(Ordering::Acquire) > known.taken.get())
     }
 }
 
@@ -113,6 +127,11 @@
         self.written_by().is_some_and(|by| Instant::now() >= by)
     }
 
+    /// Whether the list by which the attempt was decided has expired before its first byte: none may be written.
+    pub fn has_expired(&self) -> bool {
+        self.bytes() == 0 && self.0.fresh.has_expired()
+    }
+
     /// Whether the attempt's first byte must wait: the engine has not yet heard all that the process was told.
     pub fn must_wait(&self) -> bool {
         self.bytes() == 0 && self.0.fresh.is_behind()
--- a/engine/src/socket.rs
+++ b/engine/src/socket.rs
@@ -102,7 +102,7 @@
             context.waker().wake_by_ref();
             return Poll::Pending;
         }
-        let barred = |meter: &Meter| meter.is_revoked() || meter.is_too_late();
+        let barred = |meter: &Meter| meter.is_revoked() || meter.is_too_late() || meter.has_expired();
         let open = io.as_mut().filter(|_| !barred(&self.0.meter.borrow()));
         let Some(io) = open else { return Poll::Ready(Err(io::ErrorKind::NotConnected.into())) };
         let written = Pin::new(io).poll_write(context, bytes);
--- a/policy/src/api.rs
+++ b/policy/src/api.rs
@@ -109,6 +109,8 @@
     pub cold_time: Micros,
     /// Longest that a proxy may go without asking for the list.
     pub ask_every: Micros,
+    /// For so long after a drain was notified new requests may still go to the server.
+    pub drain_grace: Micros,
 }
 
 /// Weights of the parts of the goal.
@@ -165,7 +167,13 @@
                 max_attempts: 3,
                 max_retry_after: 1_000_000,
             },
-            rules: Rules { bears: 2.0, cold_share: 0.1, cold_time: 20_000_000, ask_every: 10_000_000 },
+            rules: Rules {
+                bears: 2.0,
+                cold_share: 0.1,
+                cold_time: 20_000_000,
+                ask_every: 10_000_000,
+                drain_grace: 1_000_000,
+            },
             goal: Goal { whole: 1.0, worst_class: 0.0 },
         }
     }
@@ -215,6 +223,30 @@
     Silent,
 }
 
+/// What is known of how up to date the list in hand is, where it must be asked for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Freshness {
+    /// A watch is open, and has shown that it is alive since its call was answered.
+    Verified,
+    /// Changes may have been missed from this moment on: the last at which a watch showed that it was alive.
+    Unverified {
+        /// That moment.
+        since: Micros,
+    },
+    /// A call for the list that began then has met nobody: discovery could not be reached.
+    Unreachable {
+        /// When the call began.
+        since: Micros,
+    },
+    /// From now on another discovery is watched, of which nothing is known.
+    DiscoveryMoved,
+    /// The balancer that watches for the whole process has found that the list expires then.
+    Expires {
+        /// `None`: the list is verified.
+        at: Option<Micros>,
+    },
+}
+
 /// How an attempt ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Outcome {
@@ -315,6 +347,8 @@
         /// The entries.
         entries: Vec<Entry>,
     },
+    /// What has become of the watch that brings the list. It comes before a [`Event::Members`] that tells of a failure.
+    Freshness(Freshness),
     /// A call has come in.
     Request {
         /// Which.
@@ -410,6 +444,8 @@
     NoRetry,
     /// A server found it unusable.
     Unusable,
+    /// The list of servers could not be renewed in time.
+    ListExpired,
 }
 
 /// What the balancer tells the proxy to do.
--- a/policy/src/balance/ask.rs
+++ b/policy/src/balance/ask.rs
@@ -13,6 +13,8 @@
 /// Doublings of the pause, and its most in those times: half of what is allowed after a failed call.
 const ASK_DOUBLINGS: u32 = 3;
 const ASK_MOST: u64 = 2;
+/// Its most as a part of that time once the list has expired: clients are refused until there is another.
+const ASK_EXPIRED: u64 = 2;
 /// The same after silence (us): what it hid counts as told 1.5 s after it is noticed, 2 s after a failed ask.
 const ASK_SILENT: Micros = 300_000;
 
@@ -22,7 +24,14 @@
         if self.settings.balancers < 2 * ASK_TOGETHER {
             actions.push(Action::Subscribe);
         } else {
-            self.ask_at = now + self.below(self.ask_pause());
+            self.ask_at = now + self.below(self.ask_pause(now));
+        }
+    }
+
+    /// The list has begun to run out. What was spread over a longer time has to be asked before its end.
+    pub(super) fn ask_before_expiry(&mut self, now: Micros) {
+        if self.ask_at != Micros::MAX && self.lease.is_running_out(now) {
+            self.ask_at = self.ask_at.min(now + self.below(self.lease.renewal_window()));
         }
     }
 
@@ -37,18 +46,27 @@
     /// After a call that has failed, or a watch that has ended.
     pub(super) fn ask_again(&mut self, now: Micros, why: ListKind) {
         self.ask_soon = if why == ListKind::Silent { ASK_SILENT } else { self.ask_soon.saturating_mul(2) };
-        let pause = self.ask_pause().min(self.ask_soon);
+        let pause = self.ask_pause(now).min(self.ask_soon);
         self.ask_failures += 1;
         if self.settings.ask {
             self.ask_at = now + pause / 2 + self.below(pause);
         }
     }
 
-    /// Over how long balancers that ask at one moment are spread.
-    fn ask_pause(&self) -> Micros {
+    /// Over how long balancers that ask at one moment are spread. While the list runs out that has to be
+    /// short, however many there are; once it has expired nothing is sent by it, and discovery is spared.
+    fn ask_pause(&self, now: Micros) -> Micros {
         let every = self.settings.rules.ask_every;
         let all = u64::from(self.settings.balancers / ASK_TOGETHER).max(1);
         let doubled = all << self.ask_failures.min(ASK_DOUBLINGS);
-        (every / FIRST_PART).saturating_mul(doubled).min(every.saturating_mul(ASK_MOST))
+        let most = if self.lease.is_running_out(now) {
+            // A pause is up to one and a half times what it is drawn from.
+            self.lease.renewal_window() * 2 / 3
+        } else if self.lease.has_expired(now) {
+            every / ASK_EXPIRED
+        } else {
+            every.saturating_mul(ASK_MOST)
+        };
+        (every / FIRST_PART).saturating_mul(doubled).min(most)
     }
 }
--- /dev/null
+++ b/policy/src/balance/list.rs
@@ -0,0 +1,65 @@
+//! What news of the server list changes, and how long it may be sent by.
+
+use super::{Balancer, Server};
+use crate::api::{Entry, Freshness, ListKind, Micros, State};
+
+impl Balancer {
+    pub(super) fn members(&mut self, now: Micros, kind: ListKind, entries: &[Entry]) {
+        if matches!(kind, ListKind::Failed | ListKind::Silent) {
+            return self.ask_again(now, kind);
+        }
+        // News prove that asking works again, whoever asked.
+        if kind != ListKind::Cached {
+            self.list_verified(now);
+        }
+        self.servers.iter_mut().for_each(|s| s.listed &= kind == ListKind::Delta);
+        for entry in entries {
+            let found = self.servers.binary_search_by_key(&entry.server, |s| s.id);
+            let place = found.unwrap_or_else(|place| place);
+            // A restart under the same number is a new, cold process: nothing learned of the old one holds.
+            if found.is_err() || entry.started > self.servers[place].started {
+                let mut server = Server::new(entry, &self.settings);
+                server.first = Some(self.first(now));
+                self.servers.splice(place..place + usize::from(found.is_ok()), [server]);
+            }
+            let server = &mut self.servers[place];
+            server.listed = entry.state == State::Ready;
+            (server.zone, server.cell) = (entry.zone, entry.cell);
+            server.weight = if entry.weight.is_finite() && entry.weight > 0.0 { entry.weight } else { 1.0 };
+        }
+        self.servers.retain(|s| s.listed || s.in_flight > 0);
+        self.cut_off.retain(|zone, _| self.servers.iter().any(|s| s.zone == *zone));
+        self.pace_first_calls(now);
+        self.count();
+    }
+
+    /// What has become of the watch.
+    pub(super) fn freshness(&mut self, now: Micros, freshness: Freshness) {
+        if !self.settings.ask {
+            return;
+        }
+        if freshness == Freshness::Verified {
+            return self.list_verified(now);
+        }
+        self.lease.update(now, freshness);
+        self.ask_before_expiry(now);
+    }
+
+    fn list_verified(&mut self, now: Micros) {
+        (self.ask_failures, self.ask_soon, self.ask_at) = (0, Micros::MAX, Micros::MAX);
+        self.lease.update(now, Freshness::Verified);
+    }
+
+    /// When nothing new may be sent by the list any more, unless it is verified before; `None`: it is
+    /// verified, or pushed.
+    pub fn list_expires_at(&self) -> Option<Micros> {
+        self.lease.expires_at()
+    }
+
+    /// Trouble seen at most of the fleet is not the servers' own: never are most set aside.
+    pub(super) fn count(&mut self) {
+        self.listed = self.servers.iter().filter(|s| s.listed).count();
+        self.aside = self.servers.iter().filter(|s| s.listed && s.budget.steps == 0).count();
+        self.pool.iter_mut().for_each(|p| p.up = (self.listed - self.aside) as f64);
+    }
+}
--- /dev/null
+++ b/policy/src/freshness.rs
@@ -0,0 +1,161 @@
+//! How long the list of servers may be sent by while no watch shows that it is up to date.
+//!
+//! A list is a lease. While a watch is open and alive, each change arrives, and the lease has no
+//! end. When the watch breaks or falls silent, changes may be missed, and what is missed counts as
+//! notified a stated time later, whether it has arrived or not. The lease ends before a request
+//! could reach a server over the grace after that moment; from then on nothing new is sent until a
+//! list has come. One clock stands for all that lies between: noticing, pauses, connections,
+//! answers and their repetitions each have bounds of their own, and it is their sum that counts.
+
+use crate::api::{Freshness, Micros, Rules};
+
+/// A change that a broken or silent watch missed, or that came while none was open, counts as
+/// notified at the latest this long after the watch was lost.
+const NOTIFIED_MOST: Micros = 6_000_000;
+/// The same after the configuration has named another discovery.
+const NOTIFIED_MOVED: Micros = 4_000_000;
+/// After a call that failed the list holds for so many times the time between two calls.
+const FAILED_CALL_TIMES: Micros = 4;
+/// A request is written so long after it was decided at the most: the process may be held up in
+/// between.
+const HELD_UP_MOST: Micros = 250_000;
+
+/// The lease of the list in hand.
+#[derive(Clone, Debug)]
+pub(crate) struct ListLease {
+    /// Longest that a client proxy without a watch may go without a call for the list.
+    call_every: Micros,
+    /// From the moment at which a change counts as notified to the last at which a request may be
+    /// decided by the list before it.
+    slack: Micros,
+    /// `None`: a watch is open and alive, or the list is pushed.
+    expires_at: Option<Micros>,
+}
+
+impl ListLease {
+    /// A lease without an end.
+    pub fn new(rules: &Rules) -> ListLease {
+        let slack = rules.drain_grace.saturating_sub(HELD_UP_MOST);
+        ListLease { call_every: rules.ask_every, slack, expires_at: None }
+    }
+
+    /// Takes in what has become of the watch.
+    pub fn update(&mut self, now: Micros, freshness: Freshness) {
+        match freshness {
+            Freshness::Verified => self.expires_at = None,
+            Freshness::Unverified { since } => {
+                let notified = since.saturating_add(NOTIFIED_MOST).min(now.saturating_add(self.call_every));
+                self.shorten(notified.saturating_add(self.slack));
+            }
+            Freshness::DiscoveryMoved => {
+                self.shorten(now.saturating_add(NOTIFIED_MOVED).saturating_add(self.slack));
+            }
+            Freshness::Unreachable { since } => {
+                let held = self.call_every.saturating_mul(FAILED_CALL_TIMES).min(NOTIFIED_MOST);
+                let renewed = since.saturating_add(held).saturating_add(self.slack);
+                self.expires_at = self.expires_at.map(|at| at.max(renewed));
+            }
+            Freshness::Expires { at } => self.expires_at = at,
+        }
+    }
+
+    fn shorten(&mut self, at: Micros) {
+        self.expires_at = Some(self.expires_at.map_or(at, |before| before.min(at)));
+    }
+
+    /// When nothing new may be sent by the list any more; `None`: the list is verified.
+    pub fn expires_at(&self) -> Option<Micros> {
+        self.expires_at
+    }
+
+    /// Whether that moment has come.
+    pub fn has_expired(&self, now: Micros) -> bool {
+        self.expires_at.is_some_and(|at| now >= at)
+    }
+
+    /// Whether the list must be renewed, and still can be before it expires.
+    pub fn is_running_out(&self, now: Micros) -> bool {
+        self.expires_at.is_some_and(|at| now < at)
+    }
+
+    /// The longest time over which calls for the list are spread while it runs out, so that one of
+    /// them and one more after it are answered before the end.
+    pub fn renewal_window(&self) -> Micros {
+        self.call_every.min(NOTIFIED_MOST) * 3 / 8
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::api::Settings;
+
+    const SECOND: Micros = 1_000_000;
+
+    fn lease(ask_every: Micros) -> ListLease {
+        ListLease::new(&Rules { ask_every, ..Settings::default().rules })
+    }
+
+    /// All that can become of a watch, in every order of five: the lease never ends later than the
+    /// first loss that no list and no failed call came after allows, and a list always lifts it.
+    #[test]
+    fn in_every_order_of_events_the_lease_ends_in_time() {
+        let kinds = 5_usize;
+        for course in 0..kinds.pow(5) {
+            let (mut lease, mut bound, mut rest) = (lease(10 * SECOND), None::<Micros>, course);
+            for step in 1..=5 {
+                let now = step * 2 * SECOND;
+                let event = match rest % kinds {
+                    0 => Freshness::Verified,
+                    1 => Freshness::Unverified { since: now },
+                    2 => Freshness::Unverified { since: now - SECOND },
+                    3 => Freshness::DiscoveryMoved,
+                    _ => Freshness::Unreachable { since: now - SECOND },
+                };
+                rest /= kinds;
+                lease.update(now, event);
+                let least = |bound: Option<Micros>, at: Micros| Some(bound.map_or(at, |b| b.min(at)));
+                bound = match event {
+                    Freshness::Verified | Freshness::Expires { .. } => None,
+                    Freshness::Unverified { since } => least(bound, since + 7 * SECOND),
+                    Freshness::DiscoveryMoved => least(bound, now + 5 * SECOND),
+                    Freshness::Unreachable { since } => bound.map(|at| at.max(since + 7 * SECOND)),
+                };
+                let end = lease.expires_at();
+                assert_eq!(end.is_some(), bound.is_some(), "{course}: {event:?}");
+                if let (Some(end), Some(bound)) = (end, bound) {
+                    assert_eq!(end + HELD_UP_MOST, bound, "{course}: {event:?}");
+                }
+            }
+        }
+    }
+
+    #[test]
+    fn it_ends_sooner_where_the_settings_want_calls_more_often() {
+        let mut lease = lease(2 * SECOND);
+        lease.update(10 * SECOND, Freshness::Unverified { since: 9 * SECOND });
+        assert_eq!(lease.expires_at(), Some(12 * SECOND + 750_000));
+        lease.update(11 * SECOND, Freshness::Unreachable { since: 10 * SECOND });
+        assert_eq!(lease.expires_at(), Some(16 * SECOND + 750_000), "six seconds at most");
+        assert!(!lease.has_expired(16 * SECOND) && lease.has_expired(17 * SECOND));
+    }
+
+    #[test]
+    fn a_call_that_failed_says_nothing_of_a_list_that_is_verified() {
+        let mut lease = lease(10 * SECOND);
+        lease.update(SECOND, Freshness::Unreachable { since: 0 });
+        assert_eq!(lease.expires_at(), None);
+    }
+
+    #[test]
+    fn odd_figures_overflow_nowhere() {
+        let rules = Rules { ask_every: Micros::MAX, drain_grace: Micros::MAX, ..Settings::default().rules };
+        let mut lease = ListLease::new(&rules);
+        lease.update(Micros::MAX, Freshness::Unverified { since: Micros::MAX });
+        lease.update(Micros::MAX, Freshness::Unreachable { since: Micros::MAX });
+        assert_eq!(lease.expires_at(), Some(Micros::MAX));
+        let mut none = ListLease::new(&Rules { ask_every: 0, drain_grace: 0, ..rules });
+        none.update(5, Freshness::Unverified { since: 3 });
+        assert!(none.has_expired(5));
+    }
+}
--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -28,6 +28,7 @@
 mod api;
 mod balance;
 mod budget;
+mod freshness;
 mod state;
 
 pub use api::*;
--- a/policy/tests/random.rs
+++ b/policy/tests/random.rs
@@ -214,7 +214,7 @@
     odd.balancers = 0;
     odd.limits.max_attempts = 0;
     odd.tenants = vec![Tenant { share: 0.0 }];
-    odd.rules = Rules { bears: 0.0, cold_share: 0.0, cold_time: 0, ask_every: 0 };
+    odd.rules = Rules { bears: 0.0, cold_share: 0.0, cold_time: 0, ask_every: 0, drain_grace: 0 };
     let empty = Settings { classes: vec![], ..odd.clone() };
     for settings in [odd, empty] {
         let mut proxy = Proxy::new(settings, 2);
--- a/proxy/tests/freshness.rs
+++ b/proxy/tests/freshness.rs
@@ -4,7 +4,8 @@
 use nettleworks_crew::{History, Process};
 use nettleworks_standins::*;
 use std::cell::RefCell;
-use std::path::Path;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::task::{spawn_local, JoinHandle};
@@ -25,6 +26,7 @@
     relay: Relay,
     servers: Vec<Host>,
     ledger: Ledger,
+    folder: PathBuf,
     processes: Vec<Process>,
     tally: Rc<RefCell<Tally>>,
     clients: Vec<JoinHandle<()>>,
@@ -48,12 +50,22 @@
             servers.push(server);
         }
         let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("freshness-{name}"));
-        let (history, mut processes) = (History::default(), Vec::new());
         let tally = Rc::new(RefCell::new(Tally::default()));
+        let (processes, clients) = (Vec::new(), Vec::new());
+        let mut fleet = Fleet { registry, relay, servers, ledger, folder, processes, tally, clients };
+        fleet.configure(fleet.relay.address, count, change);
+        fleet.begin(count);
+        fleet.watched(count).await;
+        fleet.send_for(lasts);
+        fleet
+    }
+
+    /// Writes the configurations of so many processes.
+    fn configure(&self, discovery: SocketAddr, count: usize, change: impl Fn(&mut serde_json::Value)) {
         for number in 0..count {
-            let folder = folder.join(number.to_string());
+            let folder = self.folder.join(number.to_string());
             std::fs::create_dir_all(&folder).expect("a folder");
-            let config = configuration(relay.address, &servers, |config| {
+            let config = configuration(discovery, &self.servers, |config| {
                 config["seed"] = format!("{:x}", 0x9e37_79b9 * (number as u64 + 1)).into();
                 config["settings"]["balancers"] = FLEET.into();
                 config["settings"]["me"] = number.into();
@@ -65,14 +77,18 @@
                 change(config);
             });
             std::fs::write(folder.join("config.json"), config).expect("written");
-            let program = Path::new(env!("CARGO_BIN_EXE_nettleworks"));
-            let process = Process::start(program, number, &folder, false, &history);
-            processes.push(process);
         }
-        let mut fleet = Fleet { registry, relay, servers, ledger, processes, tally, clients: Vec::new() };
-        fleet.watched(count).await;
-        fleet.send_for(lasts);
-        fleet
+    }
+
+    /// Starts so many processes. Those that run are killed.
+    fn begin(&mut self, count: usize) {
+        self.processes.clear();
+        let program = Path::new(env!("CARGO_BIN_EXE_nettleworks"));
+        for number in 0..count {
+            let folder = self.folder.join(number.to_string());
+            let process = Process::start(program, number, &folder, false, &History::default());
+            self.processes.push(process);
+        }
     }
 
     /// A client of each process sends for this long.
@@ -153,3 +169,119 @@
         assert!(fleet.processes.len() == 4 && served > 100, "{served} served");
     });
 }
+
+/// The same where discovery accepts calls and answers none: a process's connection to it may be half open.
+#[test]
+fn a_drain_that_hung_calls_withhold_gets_nothing_sent() {
+    run(async {
+        let mut fleet = Fleet::start("hung", 4, Duration::from_secs(12), |_| ()).await;
+        fleet.relay.arrivals(Arrival::Hangs);
+        fleet.relay.reset_after(200);
+        let broken = fleet.drain();
+        fleet.ended().await;
+        assert_eq!(fleet.sent_after(broken + TOLD + GRACE), 0);
+        assert!(fleet.tally.borrow().refused > 0 && fleet.tally.borrow().failed == 0);
+    });
+}
+
+/// One call hangs on a dead connection and the next would be answered: it is made beside the first, in time.
+#[test]
+fn a_call_that_hangs_is_hedged_before_the_list_expires() {
+    run(async {
+        let mut fleet = Fleet::start("hedged", 4, Duration::from_secs(9), |_| ()).await;
+        fleet.relay.arrivals(Arrival::Hangs);
+        let before = fleet.relay.accepted.get();
+        fleet.relay.reset_after(200);
+        let broken = fleet.drain();
+        eventually("each has called", || fleet.relay.accepted.get() >= before + 4).await;
+        fleet.relay.arrivals(Arrival::Passes);
+        fleet.ended().await;
+        assert_eq!(fleet.sent_after(broken + TOLD + GRACE), 0);
+        let tally = fleet.tally.borrow();
+        assert!(tally.refused * 100 <= tally.served, "{} refused, {} served", tally.refused, tally.served);
+    });
+}
+
+/// All watches fall silent, and servers drain in that time. The next are opened while what is hidden is not yet notified.
+#[test]
+fn a_drain_that_a_silent_watch_hid_is_heeded_in_time() {
+    run(async {
+        let mut fleet = Fleet::start("silent", 8, Duration::from_secs(10), |_| ()).await;
+        fleet.relay.silence();
+        let silent = fleet.drain();
+        fleet.ended().await;
+        assert_eq!(fleet.sent_after(silent + TOLD + GRACE), 0);
+        let tally = fleet.tally.borrow();
+        assert!(tally.refused * 100 <= tally.served, "{} refused, {} served", tally.refused, tally.served);
+    });
+}
+
+/// Discovery is down for longer than a list holds: nothing that it has counts as notified, and clients go on being
+/// served. A server drains meanwhile; once discovery is back that is heeded in time.
+#[test]
+fn an_outage_of_discovery_keeps_clients_served_and_its_end_is_heeded() {
+    run(async {
+        let mut fleet = Fleet::start("outage", 8, Duration::from_millis(16_500), |_| ()).await;
+        fleet.relay.arrivals(Arrival::Refused(Duration::from_secs(2)));
+        fleet.relay.reset_after(1);
+        fleet.drain();
+        sleep(Duration::from_millis(8_500)).await;
+        fleet.relay.arrivals(Arrival::Passes);
+        let back = Instant::now();
+        fleet.ended().await;
+        assert_eq!(fleet.sent_after(back + TOLD + GRACE), 0);
+        let tally = fleet.tally.borrow();
+        assert!(tally.refused * 100 <= tally.served, "{} refused, {} served", tally.refused, tally.served);
+    });
+}
+
+/// A process is killed and starts again with the list that it had, and discovery refuses its calls: that list is no better
+/// than one whose watch broke when the process went down.
+#[test]
+fn a_list_from_before_a_restart_is_not_sent_by_for_long() {
+    run(async {
+        let mut fleet = Fleet::start("restart", 3, Duration::ZERO, |_| ()).await;
+        fleet.ended().await;
+        fleet.relay.arrivals(Arrival::Refused(Duration::ZERO));
+        let drained = fleet.drain();
+        fleet.begin(3);
+        fleet.send_for(Duration::from_secs(10));
+        fleet.ended().await;
+        assert_eq!(fleet.sent_after(drained + TOLD + GRACE), 0);
+        assert!(fleet.tally.borrow().refused > 0 && fleet.tally.borrow().served > 0);
+    });
+}
+
+/// What another discovery has counts as notified four seconds after the signal that named it.
+#[test]
+fn a_new_discovery_that_does_not_answer_ends_the_list_sooner() {
+    run(async {
+        let mut fleet = Fleet::start("moved", 3, Duration::from_secs(9), |_| ()).await;
+        let moved = Relay::start(fleet.registry.address).await;
+        moved.arrivals(Arrival::Hangs);
+        fleet.configure(moved.address, 3, |_| ());
+        fleet.processes.iter().for_each(Process::reload);
+        let signalled = fleet.drain();
+        fleet.ended().await;
+        assert_eq!(fleet.sent_after(signalled + Duration::from_secs(4) + GRACE), 0);
+        assert!(fleet.tally.borrow().refused > 0 && fleet.tally.borrow().served > 0);
+    });
+}
+
+/// Where lists are pushed the agent is silent while discovery is down, and what it has at the return counts at once.
+#[test]
+fn what_a_silent_agent_has_at_its_return_is_heeded_within_the_grace() {
+    run(async {
+        let push = |config: &mut serde_json::Value| config["settings"]["discovery"] = "push".into();
+        let mut fleet = Fleet::start("pushed", 6, Duration::from_secs(11), push).await;
+        fleet.relay.arrivals(Arrival::Hangs);
+        fleet.relay.silence();
+        fleet.drain();
+        sleep(Duration::from_secs(8)).await;
+        fleet.relay.arrivals(Arrival::Passes);
+        let back = Instant::now();
+        fleet.ended().await;
+        assert_eq!(fleet.sent_after(back + GRACE), 0);
+        assert_eq!(fleet.tally.borrow().refused, 0, "an agent that is down hides nothing that counts");
+    });
+}
--- a/proxy/tests/suite/discovery.rs
+++ b/proxy/tests/suite/discovery.rs
@@ -20,7 +20,7 @@
 fn a_proxy_without_a_list_is_not_ready_and_with_one_it_serves() {
     run(async {
         let host = Host::start([ok("served")]).await;
-        let discovery = Discovery::quiet().await;
+        let discovery = Discovery::silent().await;
         let proxy = Proxy::with(&discovery, &[], NONE).await;
         let mut client = proxy.client().await;
         assert_eq!(client.ask(HEALTH).await.status(), 503);
@@ -57,7 +57,8 @@
             .filter_map(|rest| rest.strip_suffix(" HTTP/1.1"))
             .collect();
         assert_eq!(versions, ["41", "41", "50", "50", "50", "50"], "{asked:?}");
-        assert_eq!(proxy.client().await.ask(&request("unsafe", "", "")).await.status(), 200);
+        let answer = proxy.client().await.ask(&request("unsafe", "", "")).await;
+        assert_eq!(answer.status(), 200, "{answer:?}");
     });
 }
 
@@ -65,7 +66,7 @@
 #[test]
 fn a_silent_watch_is_given_up() {
     run(async {
-        let discovery = Discovery::quiet().await;
+        let discovery = Discovery::silent().await;
         let _proxy = Proxy::with(&discovery, &[], NONE).await;
         eventually("a second watch", || discovery.asked.borrow().len() == 2).await;
     });
@@ -76,7 +77,7 @@
 #[test]
 fn one_of_many_opens_a_silent_watch_again_in_time() {
     run(async {
-        let discovery = Discovery::quiet().await;
+        let discovery = Discovery::silent().await;
         let _proxy = Proxy::with(&discovery, &[], |config| {
             NONE(config);
             config["settings"]["balancers"] = 300.into();
@@ -131,7 +132,7 @@
 fn an_indented_list_is_taken() {
     run(async {
         let host = Host::start([ok("served")]).await;
-        let discovery = Discovery::quiet().await;
+        let discovery = Discovery::silent().await;
         let proxy = Proxy::with(&discovery, &[], NONE).await;
         eventually("the watch is open", || discovery.asked.borrow().len() == 1).await;
         let line = list(42, true, &[entry("s-9", host.address, "Ready")]);
@@ -149,7 +150,7 @@
 #[test]
 fn a_watch_that_never_ends_its_list_is_given_up() {
     run(async {
-        let discovery = Discovery::quiet().await;
+        let discovery = Discovery::silent().await;
         let _proxy = Proxy::with(&discovery, &[], NONE).await;
         eventually("the watch is open", || discovery.asked.borrow().len() == 1).await;
         discovery.push(&piece("{\"seq\":")).await;
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -71,6 +71,8 @@
     cold_us: u64,
     #[serde(default = "ask_every")]
     ask_every_us: u64,
+    #[serde(default = "drain_grace")]
+    drain_grace_us: u64,
     #[serde(default = "bears")]
     fall_multiple: f64,
 }
@@ -83,6 +85,10 @@
     Settings::default().rules.ask_every
 }
 
+fn drain_grace() -> u64 {
+    Settings::default().rules.drain_grace
+}
+
 #[derive(Deserialize)]
 #[serde(default)]
 struct GoalFacts {
@@ -151,6 +157,7 @@
             cold_share: rules.cold_from,
             cold_time: rules.cold_us,
             ask_every: rules.ask_every_us,
+            drain_grace: rules.drain_grace_us,
         },
         goal: Goal { whole: facts.result_mix.whole, worst_class: facts.result_mix.worst_class },
     };
--- a/shards/cores/src/hub.rs
+++ b/shards/cores/src/hub.rs
@@ -2,6 +2,7 @@
 
 use nettleworks_engine::calls::{Ask, Reply};
 use nettleworks_engine::driver::Handle;
+use nettleworks_engine::group::Lease;
 use nettleworks_engine::list::{Health, Host, List};
 use nettleworks_engine::protocol::Protocol;
 use nettleworks_policy::{CallId, News as Learned, ServerId};
@@ -16,6 +17,8 @@
 use std::time::{Duration, Instant};
 use tokio::sync::{mpsc, Notify};
 
+/// A moment that does not come.
+const NEVER: u64 = u64::MAX;
 /// Changes of the list that a shard may be behind; one further behind reads the whole list instead.
 const LISTS_KEPT: usize = 64;
 /// News of hosts that a shard may be behind. They are advice: one further behind goes on without.
@@ -107,6 +110,10 @@
     /// How often the process was told of the list.
     pub(crate) told: Arc<AtomicU64>,
     lists: Mutex<Lists>,
+    /// When a watch last proved the list, and when the list expires ([`NEVER`]: it does not), since the start; 0 for the
+    /// first: nobody has said so yet.
+    list_alive: AtomicU64,
+    list_expires: AtomicU64,
     learned: Mutex<News<(Arc<str>, Learned)>>,
     /// Room by a host's name and when its process started: a new process is a new host.
     rooms: Mutex<Rooms>,
@@ -135,6 +142,8 @@
             posts,
             told: Arc::default(),
             lists: Mutex::new(Lists { news: News::new(LISTS_KEPT), seq: 0, hosts: BTreeMap::new() }),
+            list_alive: AtomicU64::new(0),
+            list_expires: AtomicU64::new(NEVER),
             learned: Mutex::new(News::new(LEARNED_KEPT)),
             rooms: Mutex::default(),
             numbers: Mutex::default(),
@@ -147,6 +156,22 @@
         self.began.elapsed().as_micros() as u64
     }
 
+    /// The engine that watches knows this of the list's lease. Each of the two is read by itself: one may be a moment older.
+    pub(crate) fn publish(&self, lease: Lease) {
+        let since =
+            |at: tokio::time::Instant| at.into_std().saturating_duration_since(self.began).as_micros() as u64;
+        self.list_expires.store(lease.expires.map_or(NEVER, since), Ordering::Release);
+        self.list_alive.store(since(lease.alive).max(1), Ordering::Release);
+    }
+
+    /// What was last published of the list's lease.
+    pub(crate) fn lease(&self) -> Option<Lease> {
+        let at = |micros| tokio::time::Instant::from_std(self.began + Duration::from_micros(micros));
+        let alive = self.list_alive.load(Ordering::Acquire);
+        let expires = Some(self.list_expires.load(Ordering::Acquire)).filter(|at| *at != NEVER);
+        (alive > 0).then(|| Lease { alive: at(alive), expires: expires.map(at) })
+    }
+
     pub(crate) fn wake(&self, wakes: Wakes) {
         wakes.shards().filter_map(|shard| self.posts.get(shard)).for_each(|post| post.look.notify_one());
     }
--- a/shards/cores/src/member.rs
+++ b/shards/cores/src/member.rs
@@ -5,7 +5,7 @@
 //! else wants it. Whoever wants room and finds none waits for it in turn and wakes those that have some to spare.
 
 use crate::hub::Hub;
-use nettleworks_engine::group::{Group, Place};
+use nettleworks_engine::group::{Group, Lease, Place};
 use nettleworks_engine::list::List;
 use nettleworks_engine::meter::Fresh;
 use nettleworks_engine::protocol::Protocol;
@@ -256,6 +256,14 @@
         self.fresh.taken(self.hub.list(self.me, list));
     }
 
+    fn publish(&mut self, lease: Lease) {
+        self.hub.publish(lease);
+    }
+
+    fn lease(&self) -> Option<Lease> {
+        self.hub.lease()
+    }
+
     fn number(&mut self, name: &str) -> ServerId {
         self.hub.number(name)
     }
--- a/standins/src/discovery.rs
+++ b/standins/src/discovery.rs
@@ -1,5 +1,6 @@
 //! Discovery that is scripted answer by answer. [`crate::Registry`] is one that keeps a list by itself.
 
+use crate::configuration::list;
 use crate::message::Reader;
 use crate::wait::eventually;
 use std::cell::RefCell;
@@ -7,10 +8,12 @@
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::spawn_local;
+use tokio::time::sleep;
 
 /// The head of a watch.
 pub const WATCH: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
@@ -25,7 +28,11 @@
     format!("{:x}\r\n{text}\r\n", text.len())
 }
 
-/// Discovery: to each watch it says the next of its answers, and then what is pushed.
+/// How often a watch hears an empty line.
+const HEARTBEAT: Duration = Duration::from_secs(2);
+
+/// Discovery: to each watch it says the next of its answers, and then what is pushed. The last watch hears heartbeats, unless
+/// it is a silent one.
 #[derive(Clone, Debug)]
 pub struct Discovery {
     /// Where it listens.
@@ -33,26 +40,45 @@
     /// The request lines of the watches so far.
     pub asked: Rc<RefCell<Vec<String>>>,
     watch: Rc<RefCell<Option<OwnedWriteHalf>>>,
+    beats: bool,
 }
 
 impl Discovery {
-    /// Discovery that has nothing to tell.
+    /// Discovery that has nothing to tell: each watch hears that nothing has changed, and then heartbeats.
     pub async fn quiet() -> Discovery {
-        Discovery::start([WATCH.to_owned()]).await
+        Discovery::start([]).await
+    }
+
+    /// Discovery that opens each watch and then says nothing at all, not even heartbeats.
+    pub async fn silent() -> Discovery {
+        Discovery::serve([], false).await
     }
 
-    /// Discovery that says these answers, and after them nothing.
+    /// Discovery that says these answers, and after them that nothing has changed.
     pub async fn start(answers: impl IntoIterator<Item = String>) -> Discovery {
+        Discovery::serve(answers, true).await
+    }
+
+    async fn serve(answers: impl IntoIterator<Item = String>, beats: bool) -> Discovery {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = listener.local_addr().expect("an address");
-        let discovery = Discovery { address, asked: Rc::default(), watch: Rc::default() };
+        let discovery = Discovery { address, asked: Rc::default(), watch: Rc::default(), beats };
+        let beating = discovery.clone();
+        if beats {
+            spawn_local(async move {
+                loop {
+                    sleep(HEARTBEAT).await;
+                    beating.beat().await;
+                }
+            });
+        }
         let (serving, mut answers) = (discovery.clone(), answers.into_iter().collect::<VecDeque<_>>());
         spawn_local(async move {
             while let Ok((stream, _)) = listener.accept().await {
                 let (read, mut write) = stream.into_split();
                 let mut reader = Reader::new(read);
                 let Some(message) = reader.message().await else { continue };
-                let answer = answers.pop_front().unwrap_or_else(|| WATCH.to_owned());
+                let answer = answers.pop_front().unwrap_or_else(|| serving.unchanged(&message.first));
                 write.write_all(answer.as_bytes()).await.expect("written");
                 serving.asked.borrow_mut().push(message.first);
                 *serving.watch.borrow_mut() = Some(write);
@@ -61,6 +87,24 @@
         discovery
     }
 
+    /// What a watch is answered that has missed nothing.
+    fn unchanged(&self, request: &str) -> String {
+        if !self.beats {
+            return WATCH.to_owned();
+        }
+        let since = request.split_once("since=").and_then(|(_, rest)| rest.split(' ').next()?.parse().ok());
+        format!("{WATCH}{}", chunk(&list(since.unwrap_or(0), false, &[])))
+    }
+
+    /// An empty line on the last watch, if there is one.
+    async fn beat(&self) {
+        let Some(mut watch) = self.watch.borrow_mut().take() else { return };
+        // Whoever has left it hears nothing.
+        let _ = watch.write_all(chunk("").as_bytes()).await;
+        // Another may have begun meanwhile.
+        self.watch.borrow_mut().get_or_insert(watch);
+    }
+
     /// Whether the other side has closed the last watch.
     pub fn is_left(&self) -> bool {
         let watch = self.watch.borrow();
