--- a/crew/src/process.rs
+++ b/crew/src/process.rs
@@ -44,6 +44,23 @@
         if members {
             command.arg("--members").arg(folder.join("members.json"));
         }
+        Process::spawn(command, number, folder, history)
+    }
+
+    /// Starts `program` with the file `config.json` of a folder and so many engines.
+    pub fn with_engines(
+        program: &Path,
+        number: usize,
+        folder: &Path,
+        engines: usize,
+        history: &History,
+    ) -> Process {
+        let mut command = Command::new(program);
+        command.arg(folder.join("config.json")).arg("--cores").arg(engines.to_string());
+        Process::spawn(command, number, folder, history)
+    }
+
+    fn spawn(mut command: Command, number: usize, folder: &Path, history: &History) -> Process {
         let mut child =
             command.stdout(Stdio::null()).stderr(Stdio::piped()).spawn().expect("the program starts");
         history.note(Event::Started(number));
--- a/policy/src/balance/ask.rs
+++ b/policy/src/balance/ask.rs
@@ -15,8 +15,8 @@
 const ASK_MOST: u64 = 2;
 /// Its most as a part of that time once the list has expired: clients are refused until there is another.
 const ASK_EXPIRED: u64 = 2;
-/// The same (us) after silence, and after a watch that broke with a list on its way: what that says counts as told
-/// already, with the grace that drains have.
+/// The same (us) after silence, and after a watch that broke with a list on its way: what that says counts
+/// as notified already, with the grace that drains have.
 const ASK_SILENT: Micros = 300_000;
 
 impl Balancer {
--- a/proxy/tests/freshness.rs
+++ b/proxy/tests/freshness.rs
@@ -27,6 +27,8 @@
     servers: Vec<Host>,
     ledger: Ledger,
     folder: PathBuf,
+    /// Of each process.
+    engines: usize,
     processes: Vec<Process>,
     tally: Rc<RefCell<Tally>>,
     clients: Vec<JoinHandle<()>>,
@@ -39,6 +41,17 @@
         count: usize,
         lasts: Duration,
         change: impl Fn(&mut serde_json::Value),
+    ) -> Fleet {
+        Fleet::start_with(name, count, 1, lasts, change).await
+    }
+
+    /// The same with so many engines in each.
+    async fn start_with(
+        name: &str,
+        count: usize,
+        engines: usize,
+        lasts: Duration,
+        change: impl Fn(&mut serde_json::Value),
     ) -> Fleet {
         let (registry, ledger) = (Registry::start().await, Ledger::default());
         let relay = Relay::start(registry.address).await;
@@ -52,7 +65,8 @@
         let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("freshness-{name}"));
         let tally = Rc::new(RefCell::new(Tally::default()));
         let (processes, clients) = (Vec::new(), Vec::new());
-        let mut fleet = Fleet { registry, relay, servers, ledger, folder, processes, tally, clients };
+        let mut fleet =
+            Fleet { registry, relay, servers, ledger, folder, engines, processes, tally, clients };
         fleet.configure(fleet.relay.address, count, change);
         fleet.begin(count);
         fleet.watched(count).await;
@@ -86,7 +100,7 @@
         let program = Path::new(env!("CARGO_BIN_EXE_nettleworks"));
         for number in 0..count {
             let folder = self.folder.join(number.to_string());
-            let process = Process::start(program, number, &folder, false, &History::default());
+            let process = Process::with_engines(program, number, &folder, self.engines, &History::default());
             self.processes.push(process);
         }
     }
@@ -95,7 +109,7 @@
     fn send_for(&mut self, lasts: Duration) {
         for process in &self.processes {
             let load = Load {
-                clients: 1,
+                clients: self.engines,
                 until: Some(Instant::now() + lasts),
                 pause: Duration::from_millis(80),
                 classes: vec![("unsafe", 1.0)],
@@ -198,6 +212,27 @@
     });
 }
 
+/// Of several engines of a process one watches the list. The others send by it too, and stop when it says so.
+#[test]
+fn no_engine_of_a_process_sends_by_a_list_that_has_expired() {
+    run(async {
+        let mut fleet = Fleet::start_with("engines", 2, 4, Duration::from_secs(14), |_| ()).await;
+        fleet.relay.arrivals(Arrival::Refused(Duration::ZERO));
+        fleet.relay.reset_after(0);
+        let broken = fleet.drain();
+        sleep(Duration::from_secs(8)).await;
+        assert_eq!(fleet.sent_after(broken + TOLD + GRACE), 0);
+        let before = fleet.tally.borrow().served;
+        assert!(fleet.tally.borrow().refused > 0);
+        // All of them go on with the next list.
+        fleet.relay.arrivals(Arrival::Passes);
+        fleet.ended().await;
+        assert_eq!(fleet.sent_after(broken + TOLD + GRACE), 0);
+        let tally = fleet.tally.borrow();
+        assert!(tally.served > before && tally.failed == 0, "{before}, then {}", tally.served);
+    });
+}
+
 /// One call hangs on a dead connection and the next would be answered: it is made beside the first, in time.
 #[test]
 fn a_call_that_hangs_is_hedged_before_the_list_expires() {
