--- a/engine/src/http1/exchange.rs
+++ b/engine/src/http1/exchange.rs
@@ -348,6 +348,30 @@
         });
     }
 
+    /// A request was decided by a list that expires before its connection is up: nothing is written of it. One whose first
+    /// byte is written goes on.
+    #[test]
+    fn nothing_is_begun_by_a_list_that_has_expired() {
+        run(async {
+            for (begun, left, written) in
+                [(0, None, true), (0, Some(60), true), (0, Some(0), false), (1, Some(0), true)]
+            {
+                let fresh = Fresh::default();
+                fresh.expires(left.map(|left| Instant::now() + Duration::from_secs(left)));
+                let meter = Meter::new(fresh, Repeats::default(), 0);
+                meter.add(begun);
+                let (connection, _host) = pair().await;
+                let request = Request::new(Outgoing::new(Bytes::from_static(b"body"), &meter));
+                let mut exchange = Box::pin(exchange(connection, request, &meter));
+                let polled =
+                    std::future::poll_fn(|c| Poll::Ready(exchange.as_mut().poll(c).is_pending())).await;
+                assert!(polled);
+                yield_now().await;
+                assert_eq!(meter.bytes() > begun, written, "{begun} {left:?}");
+            }
+        });
+    }
+
     /// An attempt is whole when its last byte is written, with a body and without one, and not before.
     #[test]
     fn an_attempt_is_whole_when_its_last_byte_is_written() {
