--- a/crew/src/process.rs
+++ b/crew/src/process.rs
@@ -73,6 +73,8 @@
                 if line.contains("members: ") || line.contains("panicked") || line.contains("serving at") {
                     noted.note(Event::Said(number, line.clone()));
                 }
+                // A test that fails shows what its processes have said.
+                eprintln!("process {number}: {line}");
                 // Only its start is waited for.
                 let _ = lines.send(line);
             }
--- a/standins/src/load.rs
+++ b/standins/src/load.rs
@@ -4,6 +4,7 @@
 use crate::message::Reader;
 use hdrhistogram::Histogram;
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -21,6 +22,8 @@
     pub refused: u64,
     /// Failed; it may have run.
     pub failed: u64,
+    /// The statuses of those that failed.
+    pub failures: BTreeMap<u16, u64>,
     /// Its connection ended without an answer.
     pub lost: u64,
     /// How often clients came again after a refusal.
@@ -152,7 +155,10 @@
                         tally.times.push(started.elapsed());
                     }
                     Some(_) if refused => tally.refused += 1,
-                    Some(_) => tally.failed += 1,
+                    Some((status, _)) => {
+                        tally.failed += 1;
+                        *tally.failures.entry(status).or_default() += 1;
+                    }
                     None => tally.lost += 1,
                 }
                 break;
