Engines of a process: one lease of the list, whoever watched meanwhile

Cause: an engine that stalled for over a second loses the watch to another.

Change: lists of other engines are kinds of their own (ListKind::SharedFull, SharedDelta), which prove nothing of the watch and leave the lease and the next call as they are. At each event the module's lease is compared with the published one itself. Whoever watches and finds that another has published since proves its watch anew before it claims anything.

--- a/engine/src/driver/members.rs
+++ b/engine/src/driver/members.rs
@@ -110,12 +110,14 @@
         let hosts = &mut driver.hosts;
         hosts.listed |= !cached || !list.hosts.is_empty();
         hosts.seq = Some(list.seq);
-        let kind = match list.whole {
-            _ if cached => ListKind::Cached,
-            true => ListKind::Full,
-            false => ListKind::Delta,
+        let kind = match (source, list.whole) {
+            (Source::Known, _) => ListKind::Cached,
+            (Source::Watch(_), true) => ListKind::Full,
+            (Source::Watch(_), false) => ListKind::Delta,
+            (Source::Group, true) => ListKind::SharedFull,
+            (Source::Group, false) => ListKind::SharedDelta,
         };
-        if kind != ListKind::Delta {
+        if kind.is_whole() {
             hosts.by_number.values_mut().for_each(|host| host.health = Health::Gone);
         }
         let mut entries = Vec::with_capacity(list.hosts.len());
@@ -133,9 +135,6 @@
         driver.log_list(&list, kind);
         // The module hears of the list before it hears of what the list undoes.
         driver.desk.events.push_back(Event::Members { kind, entries });
-        if matches!(source, Source::Group) {
-            driver.heed_lease_again();
-        }
         driver.withdraw();
         let hosts = &mut driver.hosts;
         hosts.by_number.retain(|_, host| host.health != Health::Gone);
--- a/engine/src/driver/watch.rs
+++ b/engine/src/driver/watch.rs
@@ -38,8 +38,8 @@
     unreached: Option<Instant>,
     /// Heartbeats of the present one; a list counts for as many as prove.
     beats: u32,
-    /// What the engine that watches for the process has last published.
-    shared: Option<Lease>,
+    /// Another engine watched meanwhile, and this one is to publish what it knows in that one's place.
+    takes_over: bool,
     task: Option<Task>,
 }
 
@@ -54,7 +54,7 @@
             alive: now,
             unreached: None,
             beats: 0,
-            shared: None,
+            takes_over: false,
             task: None,
         }
     }
@@ -120,8 +120,10 @@
     /// written is taken back, and the gate at the socket holds for whatever is decided in the same moment.
     pub(super) fn heed_expiry(&mut self) {
         let at = self.balancer.list_expires_at();
-        if at != self.expires_at {
+        if std::mem::take(&mut self.watch.takes_over) || at != self.expires_at {
             self.publish_lease();
+        }
+        if at != self.expires_at {
             let instant = at.map(|at| self.desk.clock.instant(at));
             self.fresh.expires(instant);
             let left = instant.map(|at| at.saturating_duration_since(Instant::now()));
@@ -148,27 +150,30 @@
         }
     }
 
-    /// Heeds what the engine that watches for all has found of the list, ahead of whatever is to be decided by it.
+    /// Brings the module in step with what the process knows of the list's lease, ahead of whatever it decides next: an
+    /// engine that watches says what it knows, and the others take that over. What the module has is compared, and not
+    /// what was seen before: it may have changed since by a watch of this engine's own.
     pub(super) fn heed_lease(&mut self) {
-        let Some(group) = self.desk.group.as_ref().filter(|group| !group.watches()) else { return };
-        let Some(lease) = group.lease().filter(|lease| Some(*lease) != self.watch.shared) else { return };
-        let expires = |lease: Lease| lease.expires;
-        if self.watch.shared.map(expires) != Some(lease.expires) {
-            let at = lease.expires.map(|at| self.desk.clock.at(at));
-            self.desk.events.push_front(Event::Freshness(Freshness::Expires { at }));
-        }
-        self.watch.shared = Some(lease);
+        let Some((group, lease)) = self.desk.group.as_ref().and_then(|group| Some((group, group.lease()?)))
+        else {
+            return;
+        };
+        // Whatever an engine's watch has proven was told to all.
         self.watch.alive = self.watch.alive.max(lease.alive);
-    }
-
-    /// A list that another engine's watch brought proves nothing here: that watch may have been lost since. The module is
-    /// to hear of the lease again behind it.
-    pub(super) fn heed_lease_again(&mut self) {
-        let lease = self.desk.group.as_ref().filter(|group| !group.watches()).and_then(|group| group.lease());
-        if let Some(lease) = lease {
-            let at = lease.expires.map(|at| self.desk.clock.at(at));
-            self.desk.events.push_back(Event::Freshness(Freshness::Expires { at }));
-            self.watch.shared = Some(lease);
+        let clock = self.desk.clock;
+        if group.watches() {
+            if group.is_superseded() {
+                // This engine was stalled, and its watch may have been lost since: it proves itself anew.
+                let since = clock.at(self.watch.unverified_since());
+                self.watch.takes_over = true;
+                self.desk.events.push_front(Event::Freshness(Freshness::Unverified { since }));
+            }
+            return;
+        }
+        let at = lease.expires.map(|at| clock.at(at));
+        // Where the list is pushed its lease has no end.
+        if self.desk.config.settings.ask && at != self.balancer.list_expires_at() {
+            self.desk.events.push_front(Event::Freshness(Freshness::Expires { at }));
         }
     }
 
--- a/engine/src/group.rs
+++ b/engine/src/group.rs
@@ -39,6 +39,9 @@
     /// What the engine that watches has last published; `None`: nothing so far.
     fn lease(&self) -> Option<Lease>;
 
+    /// Whether the last to publish was another engine: it watched meanwhile.
+    fn is_superseded(&self) -> bool;
+
     /// The number of a host, the same at every engine.
     fn number(&mut self, name: &str) -> ServerId;
 
--- a/policy/src/api.rs
+++ b/policy/src/api.rs
@@ -217,12 +217,28 @@
     Full,
     /// The whole list as the proxy last had it, maybe old.
     Cached,
+    /// Changed entries that another engine of the process was told. They prove nothing of this one's watch.
+    SharedDelta,
+    /// The whole list as another engine of the process was told it. It proves nothing of this one's watch.
+    SharedFull,
     /// None: asking failed or the subscription broke.
     Failed,
     /// None: the subscription fell silent, or broke with a list on its way. What it misses counts as told soon.
     Silent,
 }
 
+impl ListKind {
+    /// Whether it holds all entries: those that it does not name are gone.
+    pub fn is_whole(self) -> bool {
+        matches!(self, ListKind::Full | ListKind::Cached | ListKind::SharedFull)
+    }
+
+    /// Whether it proves that this engine's own watch tells all.
+    pub fn verifies(self) -> bool {
+        matches!(self, ListKind::Full | ListKind::Delta)
+    }
+}
+
 /// What is known of how up to date the list in hand is, where it must be asked for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Freshness {
--- a/policy/src/balance/list.rs
+++ b/policy/src/balance/list.rs
@@ -8,11 +8,10 @@
         if matches!(kind, ListKind::Failed | ListKind::Silent) {
             return self.ask_again(now, kind);
         }
-        // News prove that asking works again, whoever asked.
-        if kind != ListKind::Cached {
+        if kind.verifies() {
             self.list_verified(now);
         }
-        self.servers.iter_mut().for_each(|s| s.listed &= kind == ListKind::Delta);
+        self.servers.iter_mut().for_each(|s| s.listed &= !kind.is_whole());
         for entry in entries {
             let found = self.servers.binary_search_by_key(&entry.server, |s| s.id);
             let place = found.unwrap_or_else(|place| place);
--- a/policy/tests/freshness.rs
+++ b/policy/tests/freshness.rs
@@ -71,6 +71,22 @@
     }
 }
 
+/// What another engine of the process was told changes the list, and neither renews the lease nor ends the search for a
+/// watch.
+#[test]
+fn a_list_that_another_engine_brought_proves_nothing_of_the_watch() {
+    for (kind, left) in [(ListKind::SharedFull, vec![2]), (ListKind::SharedDelta, (1..=8).collect())] {
+        let mut proxy = watching(300, 7);
+        breaks(&mut proxy);
+        let lost = proxy.now;
+        proxy.list(kind, vec![ready(2)]);
+        assert_eq!(proxy.balancer.list_expires_at(), Some(lost + LEASE), "{kind:?}");
+        let sent: Vec<u32> = sent(&proxy.call().1).into_iter().map(|(_, server)| server.0).collect();
+        assert!(sent.len() == 1 && left.contains(&sent[0]), "{kind:?}: {sent:?}");
+        assert!(asks_within(&mut proxy, LEASE / 2).is_some(), "{kind:?}");
+    }
+}
+
 /// New calls, held ones, further attempts and second copies: none goes by a list that has expired, each is answered at
 /// once, and as refused only if it surely never ran.
 #[test]
--- a/proxy/tests/cores.rs
+++ b/proxy/tests/cores.rs
@@ -22,10 +22,13 @@
 use std::thread::JoinHandle;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::sync::watch;
+use tokio::sync::watch::{channel, Sender};
 use tokio::task::{spawn_local, JoinSet};
 use tokio::time::{sleep, Instant};
 
+#[path = "cores/watch.rs"]
+mod watch;
+
 /// Hosts get the keys of charges, so that their ledger counts runs by key.
 const KEYS: &str = r#"{"classes": {"unsafe": {"forward": true}}}"#;
 const SHARDS: usize = 4;
@@ -35,8 +38,8 @@
 struct Process {
     address: SocketAddr,
     peers: Shards,
-    stop: watch::Sender<bool>,
-    reload: watch::Sender<Option<Arc<Config>>>,
+    stop: Sender<bool>,
+    reload: Sender<Option<Arc<Config>>>,
     spare: Spare,
     threads: Vec<JoinHandle<End>>,
     log: Arc<Mutex<Vec<(usize, String)>>>,
@@ -59,8 +62,8 @@
         let listeners = server::bind_all(config.listen, sizes.shards).expect("it listens");
         let address = listeners[0].local_addr().expect("an address");
         let spare = Spare::of(&listeners).expect("descriptors");
-        let (stop, stopped) = watch::channel(false);
-        let (reload, reloads) = watch::channel(None);
+        let (stop, stopped) = channel(false);
+        let (reload, reloads) = channel(None);
         let (log, breaks) = (Arc::<Mutex<Vec<_>>>::default(), Arc::<Mutex<Option<_>>>::default());
         let seats = cores::seats_of(&config, sizes);
         let peers = seats[0].0.peers();
@@ -312,40 +315,6 @@
     assert_eq!(site.ledger.runs().values().max(), Some(&1));
 }
 
-/// The watch is one, and when the shard that has it stalls another goes on with it.
-#[test]
-fn the_watch_is_one_and_moves_on() {
-    let site = Site::start(vec![echo(1, vec![]); 2]);
-    run(async {
-        let process = Process::start(&site);
-        process.ready().await;
-        let watches = || site.with(|inside| inside.registry.watches.get());
-        assert_eq!(watches(), 1);
-        process.block(0, Duration::from_secs(3));
-        eventually("another watches", || watches() == 2).await;
-        site.with(|inside| inside.list(1, "Terminating"));
-        let told = async |shard| {
-            let hosts = process.peers.at(shard, |driver| driver.state().hosts).await.unwrap_or_default();
-            hosts.iter().any(|host| host.health == nettleworks_engine::list::Health::Terminating)
-        };
-        for shard in 1..SHARDS {
-            while !told(shard).await {
-                sleep(Duration::from_millis(5)).await;
-            }
-        }
-        eventually("it is back", || process.said("shard 0 answers again") >= SHARDS - 1).await;
-        while !told(0).await {
-            sleep(Duration::from_millis(5)).await;
-        }
-        let before = site.counts()[1];
-        for _ in 0..20 {
-            assert_eq!(process.client().await.ask(&request("free", "", "")).await.status(), 200);
-        }
-        assert_eq!(site.counts()[1], before, "it drains");
-        process.stop().await;
-    });
-}
-
 fn free(id: String) -> (Ask<HeaderValue>, Forward) {
     let deadline = Instant::now() + Duration::from_secs(8);
     let id: HeaderValue = id.parse().expect("a value");
--- /dev/null
+++ b/proxy/tests/cores/watch.rs
@@ -0,0 +1,166 @@
+//! One engine of a process watches the list for all. It stalls, another takes over, and it comes back: what each engine
+//! may send by, and who watches then.
+
+use super::{echo, free, Process, SHARDS};
+use nettleworks_cores::Sizes;
+use nettleworks_engine::calls::Reply;
+use nettleworks_engine::list::Health;
+use nettleworks_standins::{eventually, request, run, Arrival, Relay, Site};
+use std::time::Duration;
+use tokio::sync::oneshot;
+use tokio::task::spawn_local;
+use tokio::time::{sleep, Instant};
+
+/// Without a beat for a second an engine is taken for stalled. In this time it also misses a heartbeat of its watch, which
+/// it reads as soon as it goes on.
+const STALL: Duration = Duration::from_millis(2_500);
+/// What a lost watch hides counts as notified after this, and is heeded within the grace.
+const HEEDED: Duration = Duration::from_secs(7);
+
+/// A process of a fleet of forty, whose calls for the list are spread over seconds, and a relay before its discovery.
+async fn watched_through_a_relay(site: &Site) -> (Process, Relay) {
+    let relay = Relay::start(site.discovery).await;
+    let process = Process::with(site, Sizes::of(SHARDS), |config| {
+        config["discovery"] = relay.address.to_string().into();
+        config["settings"]["balancers"] = 40.into();
+        config["settings"]["invariants"]["ask_every_us"] = 10_000_000.into();
+    });
+    process.ready().await;
+    (process, relay)
+}
+
+/// What comes of a request that is taken at this engine.
+async fn reply_at(process: &Process, shard: usize) -> &'static str {
+    let (sender, reply) = oneshot::channel();
+    process.peers.tell(shard, move |driver| {
+        let (ask, forward) = free(format!("at-{shard}-{:?}", Instant::now()).replace(' ', ""));
+        let waiting = driver.request(ask, forward);
+        spawn_local(async move {
+            // The test may have ended.
+            let _ = sender.send(match waiting.reply().await {
+                Reply::Served(_) => "served",
+                Reply::Refused(_) => "refused",
+                _ => "failed",
+            });
+        });
+    });
+    reply.await.unwrap_or("lost")
+}
+
+/// Whether an engine knows that the second host drains.
+async fn knows_of_the_drain(process: &Process, shard: usize) -> bool {
+    let hosts = process.peers.at(shard, |driver| driver.state().hosts).await.unwrap_or_default();
+    hosts.iter().any(|host| host.health == Health::Terminating)
+}
+
+/// Waits until the first engine is stalled, does something, and waits until it is back.
+async fn while_the_first_is_stalled(process: &Process, time: Duration, meanwhile: impl AsyncFnOnce()) {
+    process.block(0, time);
+    eventually("it is noticed", || process.said("shard 0 does not answer") == SHARDS - 1).await;
+    meanwhile().await;
+    eventually("it is back", || process.said("shard 0 answers again") >= SHARDS - 1).await;
+}
+
+/// The watch is one, and when the shard that has it stalls another goes on with it.
+#[test]
+fn the_watch_is_one_and_moves_on() {
+    let site = Site::start(vec![echo(1, vec![]); 2]);
+    run(async {
+        let process = Process::start(&site);
+        process.ready().await;
+        let watches = || site.with(|inside| inside.registry.watches.get());
+        assert_eq!(watches(), 1);
+        process.block(0, Duration::from_secs(3));
+        eventually("another watches", || watches() == 2).await;
+        site.with(|inside| inside.list(1, "Terminating"));
+        let told = async |shard| {
+            let hosts = process.peers.at(shard, |driver| driver.state().hosts).await.unwrap_or_default();
+            hosts.iter().any(|host| host.health == nettleworks_engine::list::Health::Terminating)
+        };
+        for shard in 1..SHARDS {
+            while !told(shard).await {
+                sleep(Duration::from_millis(5)).await;
+            }
+        }
+        eventually("it is back", || process.said("shard 0 answers again") >= SHARDS - 1).await;
+        while !told(0).await {
+            sleep(Duration::from_millis(5)).await;
+        }
+        let before = site.counts()[1];
+        for _ in 0..20 {
+            assert_eq!(process.client().await.ask(&request("free", "", "")).await.status(), 200);
+        }
+        assert_eq!(site.counts()[1], before, "it drains");
+        process.stop().await;
+    });
+}
+
+/// Another engine leads for a moment, and its call for the list is not answered. The first goes on with its own watch,
+/// which has told all: no engine keeps the end that the list had meanwhile.
+#[test]
+fn an_engine_that_led_for_a_moment_goes_on_by_the_list_of_the_first() {
+    let site = Site::start(vec![echo(1, vec![]); 2]);
+    run(async {
+        let (process, relay) = watched_through_a_relay(&site).await;
+        relay.arrivals(Arrival::Hangs);
+        while_the_first_is_stalled(&process, STALL, async || ()).await;
+        sleep(HEEDED).await;
+        for shard in 0..SHARDS {
+            assert_eq!(reply_at(&process, shard).await, "served", "at engine {shard}");
+        }
+        process.stop().await;
+    });
+}
+
+/// The first engine's watch is lost, and another brings the list while the first is stalled. That list proves nothing of
+/// the first one's watch, which goes on to open one.
+#[test]
+fn a_list_that_another_engine_brought_does_not_end_the_search_for_a_watch() {
+    let site = Site::start(vec![echo(1, vec![]); 2]);
+    run(async {
+        let (process, relay) = watched_through_a_relay(&site).await;
+        relay.arrivals(Arrival::Refused(Duration::ZERO));
+        relay.reset_after(0);
+        eventually("its watch is lost", || process.said("watch 1: ") >= 3).await;
+        relay.arrivals(Arrival::Passes);
+        while_the_first_is_stalled(&process, STALL, async || ()).await;
+        let drained = Instant::now();
+        site.with(|inside| inside.list(1, "Terminating"));
+        for shard in 0..SHARDS {
+            while !knows_of_the_drain(&process, shard).await {
+                assert!(drained.elapsed() < HEEDED, "engine {shard} never hears of it");
+                sleep(Duration::from_millis(10)).await;
+            }
+        }
+        process.stop().await;
+    });
+}
+
+/// All watches break while the first engine is stalled, and no call is answered. When it goes on it has not read that its
+/// watch is lost: it claims nothing that it has not proven, and no engine sends by the list again.
+#[test]
+fn an_engine_that_was_stalled_claims_no_list_that_it_has_not_proven() {
+    let site = Site::start(vec![echo(1, vec![]); 2]);
+    run(async {
+        let (process, relay) = watched_through_a_relay(&site).await;
+        relay.arrivals(Arrival::Hangs);
+        while_the_first_is_stalled(&process, HEEDED + STALL, async || {
+            relay.reset_after(0);
+            site.with(|inside| inside.list(1, "Terminating"));
+            sleep(HEEDED).await;
+            for shard in 1..SHARDS {
+                assert_eq!(reply_at(&process, shard).await, "refused", "at engine {shard}");
+            }
+        })
+        .await;
+        let before = site.counts();
+        let until = Instant::now() + Duration::from_millis(500);
+        while Instant::now() < until {
+            for shard in 0..SHARDS {
+                assert_eq!(reply_at(&process, shard).await, "refused", "at engine {shard}");
+            }
+        }
+        assert_eq!(site.counts(), before, "sent by a list that had expired");
+        process.stop().await;
+    });
+}
--- a/shards/cores/src/hub.rs
+++ b/shards/cores/src/hub.rs
@@ -12,13 +12,15 @@
 use nettleworks_shards::room::{Room, Shard, Wakes};
 use nettleworks_shards::ticket::Ticket;
 use std::collections::{BTreeMap, HashMap, HashSet};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::sync::{mpsc, Notify};
 
 /// A moment that does not come.
 const NEVER: u64 = u64::MAX;
+/// No shard.
+const NOBODY: Shard = Shard::MAX;
 /// Changes of the list that a shard may be behind; one further behind reads the whole list instead.
 const LISTS_KEPT: usize = 64;
 /// News of hosts that a shard may be behind. They are advice: one further behind goes on without.
@@ -114,6 +116,8 @@
     /// first: nobody has said so yet.
     list_alive: AtomicU64,
     list_expires: AtomicU64,
+    /// The shard that said so last; [`NOBODY`] at the start.
+    list_publisher: AtomicUsize,
     learned: Mutex<News<(Arc<str>, Learned)>>,
     /// Room by a host's name and when its process started: a new process is a new host.
     rooms: Mutex<Rooms>,
@@ -144,6 +148,7 @@
             lists: Mutex::new(Lists { news: News::new(LISTS_KEPT), seq: 0, hosts: BTreeMap::new() }),
             list_alive: AtomicU64::new(0),
             list_expires: AtomicU64::new(NEVER),
+            list_publisher: AtomicUsize::new(NOBODY),
             learned: Mutex::new(News::new(LEARNED_KEPT)),
             rooms: Mutex::default(),
             numbers: Mutex::default(),
@@ -158,17 +163,27 @@
 
     /// The engine that watches knows this of the list's lease; the others look if its end has changed. Each of the two
     /// moments is read by itself: one may be a little older.
+    ///
+    /// They are not woken when another shard takes over: for a tick two may take themselves for the one that watches, and
+    /// would wake each other for as long.
     pub(crate) fn publish(&self, me: Shard, lease: Lease) {
         let since =
             |at: tokio::time::Instant| at.into_std().saturating_duration_since(self.began).as_micros() as u64;
         let expires = lease.expires.map_or(NEVER, since);
         let before = self.list_expires.swap(expires, Ordering::AcqRel);
-        self.list_alive.store(since(lease.alive).max(1), Ordering::Release);
-        if before != expires {
+        self.list_alive.fetch_max(since(lease.alive).max(1), Ordering::AcqRel);
+        let publisher = self.list_publisher.swap(me, Ordering::AcqRel);
+        let takes_over = publisher != me && publisher != NOBODY;
+        if before != expires && !takes_over {
             self.wake_others(me);
         }
     }
 
+    /// Which shard has published a lease last.
+    pub(crate) fn last_published(&self) -> Option<Shard> {
+        Some(self.list_publisher.load(Ordering::Acquire)).filter(|shard| *shard != NOBODY)
+    }
+
     /// What was last published of the list's lease.
     pub(crate) fn lease(&self) -> Option<Lease> {
         let at = |micros| tokio::time::Instant::from_std(self.began + Duration::from_micros(micros));
--- a/shards/cores/src/member.rs
+++ b/shards/cores/src/member.rs
@@ -264,6 +264,10 @@
         self.hub.lease()
     }
 
+    fn is_superseded(&self) -> bool {
+        self.hub.last_published().is_some_and(|shard| shard != self.me)
+    }
+
     fn number(&mut self, name: &str) -> ServerId {
         self.hub.number(name)
     }
