A heartbeat that is read late proves nothing of the time since it came

Cause: a process that was stopped for less than three seconds read what its watch had brought meanwhile and took it for a proof of that moment.

Change: engine/src/stall.rs follows when the task that reads the watch was run. A call for the list is followed in the same way.

--- a/engine/src/discovery.rs
+++ b/engine/src/discovery.rs
@@ -2,6 +2,7 @@
 
 use crate::dial::{dial, BoxError};
 use crate::list::List;
+use crate::stall::StallDetector;
 use crate::task::{self, Task};
 use http_body_util::{BodyExt, Empty};
 use hyper::body::{Bytes, Incoming};
@@ -69,6 +70,8 @@
     Answered,
     /// A whole line or list has come: the watch is alive. Of a list it comes after [`Sign::List`].
     Alive,
+    /// The same, read late: this process was stalled, and the watch may have broken since.
+    AliveLately,
     /// A list.
     List(List),
     /// A list has begun to come at this moment, and its end is long in coming.
@@ -85,7 +88,15 @@
 ) -> End {
     let began = Instant::now();
     let call = || call(discovery, since);
-    let answer = match hedged(call, if pushed { PUSHED } else { ASKED }).await {
+    let mut stall = StallDetector::new(began);
+    let mut answer = pin!(hedged(call, if pushed { PUSHED } else { ASKED }));
+    let answer = loop {
+        match timeout_at(stall.look_at(), &mut answer).await {
+            Ok(answer) => break answer,
+            Err(_) => stall.idle(Instant::now()),
+        }
+    };
+    let answer = match answer {
         Ok(answer) => answer,
         Err(Unanswered::NoConnection(reason)) => return End::Unreachable(reason),
         Err(Unanswered::Refused(reason)) if began.elapsed() >= RAN_OUT => return End::Unreachable(reason),
@@ -93,7 +104,7 @@
         Err(Unanswered::TimedOut) => return End::Failed("no answer in time".into()),
     };
     seen(Sign::Answered);
-    follow(answer, &mut seen).await
+    follow(answer, stall, &mut seen).await
 }
 
 /// A call that was answered with 200, and the task of its connection.
@@ -162,20 +173,26 @@
     timeout(patience.answer, both).await.unwrap_or(Err(Unanswered::TimedOut))
 }
 
-async fn follow(answer: Answer, seen: &mut impl FnMut(Sign)) -> End {
+async fn follow(answer: Answer, mut stall: StallDetector, seen: &mut impl FnMut(Sign)) -> End {
     let Answer { mut body, _connection } = answer;
     let (mut values, answered) = (Values::default(), Instant::now());
     let mut alive = answered;
     // Since when a list is on its way; the first one is from the head on.
-    let mut coming = Some(answered);
+    let mut coming = Some(stall.read(answered).unwrap_or(answered));
     let mut warned = false;
     loop {
         let partial = coming.filter(|_| values.depth > 0 && !warned).map(|since| since + PARTIAL);
         let until = partial.map_or(alive + SILENCE, |at| at.min(alive + SILENCE));
-        let Ok(frame) = timeout_at(until, body.frame()).await else {
-            let Some(since) = coming.filter(|_| until < alive + SILENCE) else { return End::Silent };
-            warned = true;
-            seen(Sign::Partial(since));
+        let Ok(frame) = timeout_at(until.min(stall.look_at()), body.frame()).await else {
+            let now = Instant::now();
+            stall.idle(now);
+            if now >= alive + SILENCE {
+                return End::Silent;
+            }
+            if let Some(since) = coming.filter(|_| partial.is_some_and(|at| now >= at)) {
+                warned = true;
+                seen(Sign::Partial(since));
+            }
             continue;
         };
         let ended = |reason: BoxError| match coming {
@@ -188,9 +205,10 @@
             Some(Ok(frame)) => frame.into_data(),
         };
         let (Ok(data), now) = (data, Instant::now()) else { continue };
+        let late = stall.read(now);
         // Bytes that never make a whole list are no sign of life.
         match values.take(&data, |value| serde_json::from_slice(value).map(|list| seen(Sign::List(list)))) {
-            Err(reason) => return End::Cut { since: coming.unwrap_or(now), reason },
+            Err(reason) => return End::Cut { since: coming.or(late).unwrap_or(now), reason },
             Ok(true) => {
                 alive = now;
                 warned = false;
@@ -198,12 +216,12 @@
                 if values.count > 0 || now - answered >= BEAT_LEAST {
                     coming = None;
                 }
-                seen(Sign::Alive);
+                seen(if late.is_none() { Sign::Alive } else { Sign::AliveLately });
             }
             Ok(false) => {}
         }
         if values.depth > 0 {
-            coming.get_or_insert(now);
+            coming.get_or_insert(late.unwrap_or(now));
         }
     }
 }
--- a/engine/src/driver/watch.rs
+++ b/engine/src/driver/watch.rs
@@ -70,9 +70,14 @@
         self.task = None;
     }
 
+    /// The present watch has brought a list: it proves as much as some heartbeats.
+    fn listed(&mut self) {
+        self.beats = self.beats.saturating_add(BEATS_PROVE);
+    }
+
     /// The present watch is alive. Whether that proves the list.
-    fn beat(&mut self, listed: bool) -> bool {
-        self.beats = self.beats.saturating_add(if listed { BEATS_PROVE } else { 1 });
+    fn beat(&mut self) -> bool {
+        self.beats = self.beats.saturating_add(1);
         let proves = self.beats >= BEATS_PROVE;
         if proves {
             self.alive = Instant::now();
@@ -222,7 +227,7 @@
             }
             Sign::Alive => {
                 let mut driver = self.0.borrow_mut();
-                let proves = driver.watch.beat(false);
+                let proves = driver.watch.beat();
                 let verifies = proves && driver.balancer.list_expires_at().is_some();
                 if proves && !verifies {
                     driver.publish_lease();
@@ -232,15 +237,15 @@
                     self.run([Event::Freshness(Freshness::Verified)]);
                 }
             }
+            // The lease goes on from the last sign that was read in time.
+            Sign::AliveLately => self.unverified(0),
             Sign::Partial(since) => {
                 let since = self.0.borrow().desk.clock.at(since);
                 self.run([Event::Freshness(Freshness::Withheld { since })]);
             }
             Sign::List(list) => {
                 self.members(list, Source::Watch(number));
-                let mut driver = self.0.borrow_mut();
-                driver.watch.beat(true);
-                driver.publish_lease();
+                self.0.borrow_mut().watch.listed();
             }
         }
     }
--- a/engine/src/lib.rs
+++ b/engine/src/lib.rs
@@ -10,7 +10,8 @@
 //! - [`protocol`]: the seam to what hosts speak; [`state`] what the engine shows.
 //! - [`calls`], [`station`]: calls on their way, and the subsystems that they pass.
 //! - [`group`]: the seam to other engines of the process, where there are any.
-//! - [`socket`], [`http1`], [`discovery`]: HTTP/1.1 behind the seam, and the watch of the list.
+//! - [`socket`], [`http1`], `stall`, [`discovery`]: HTTP/1.1 behind the seam, tasks that were not run, and the watch of
+//!   the list.
 //! - [`driver`]: events into the module, actions out of it; order, time and the calls.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
@@ -31,6 +32,7 @@
 pub mod protocol;
 pub mod quota;
 pub mod socket;
+mod stall;
 pub mod state;
 pub mod station;
 pub mod task;
--- a/engine/tests/tree.rs
+++ b/engine/tests/tree.rs
@@ -4,7 +4,7 @@
 use std::path::{Path, PathBuf};
 
 /// From the bottom up.
-const ORDER: [&str; 19] = [
+const ORDER: [&str; 20] = [
     "mutant",
     "task",
     "meter",
@@ -22,6 +22,7 @@
     "station",
     "socket",
     "http1",
+    "stall",
     "discovery",
     "driver",
 ];
--- a/proxy/tests/freshness.rs
+++ b/proxy/tests/freshness.rs
@@ -277,6 +277,28 @@
     });
 }
 
+/// Processes are stopped and go on. What their watches brought meanwhile is read late, and proves nothing of the time since:
+/// the watches fall silent before the processes go on, and hide a drain.
+#[test]
+fn a_heartbeat_that_is_read_late_does_not_hide_a_drain() {
+    run(async {
+        let mut fleet = Fleet::start("stopped", 8, Duration::from_secs(12), |_| ()).await;
+        // All hear of a list now, and of a heartbeat two seconds later.
+        fleet.registry.set(entry("s-0", fleet.servers[0].address, "Ready"));
+        sleep(Duration::from_millis(100)).await;
+        fleet.processes.iter().for_each(Process::stop);
+        sleep(Duration::from_millis(1_950)).await;
+        fleet.relay.silence();
+        let silent = fleet.drain();
+        sleep(Duration::from_millis(700)).await;
+        fleet.relay.arrivals(Arrival::Hangs);
+        fleet.processes.iter().for_each(Process::go_on);
+        fleet.ended().await;
+        assert_eq!(fleet.sent_after(silent + TOLD + GRACE), 0);
+        assert!(fleet.tally.borrow().refused > 0);
+    });
+}
+
 /// Discovery is down for longer than a list holds: nothing that it has counts as notified, and clients go on being
 /// served. A server drains meanwhile; once discovery is back that is heeded in time.
 #[test]
