A process that goes on after a stall reads its list before it sends

Cause: a process that goes on after seconds finds its timers run out and its sockets full at one moment. Where its watch had been quiet for three seconds by then, the timer came first: the watch was taken for silent and closed, with the word of a drain in it unread, and requests went to that server for up to 0.45 s more, until the next watch had told it.

Change: no watch is taken for silent, and no list for cut short, before a look that is in time has shown that nothing more lies in its socket. And nothing new is begun by an engine whose reader of the list has not looked for 0.75 s. Three seconds of silence are still noticed at three seconds.

--- a/engine/src/discovery.rs
+++ b/engine/src/discovery.rs
@@ -2,7 +2,7 @@
 
 use crate::dial::{dial, BoxError};
 use crate::list::List;
-use crate::stall::StallDetector;
+use crate::stall::{LastLook, StallDetector};
 use crate::task::{self, Task};
 use http_body_util::{BodyExt, Empty};
 use hyper::body::{Bytes, Incoming};
@@ -79,21 +79,25 @@
 }
 
 /// Watches the list from version `since` on and passes on what comes, until the watch ends. It returns how.
-/// `pushed`: it is an agent, which never lets a call wait.
+/// `pushed`: it is an agent, which never lets a call wait. `last_look` tells when the task last looked whether anything has
+/// come.
 pub async fn watch(
     discovery: SocketAddr,
     pushed: bool,
     since: Option<u64>,
+    last_look: LastLook,
     mut seen: impl FnMut(Sign),
 ) -> End {
     let began = Instant::now();
     let call = || call(discovery, since);
-    let mut stall = StallDetector::new(began);
+    let mut stall = StallDetector::new(began, last_look);
     let mut answer = pin!(hedged(call, if pushed { PUSHED } else { ASKED }));
     let answer = loop {
         match timeout_at(stall.look_at(), &mut answer).await {
             Ok(answer) => break answer,
-            Err(_) => stall.idle(Instant::now()),
+            Err(_) => {
+                stall.idle(Instant::now());
+            }
         }
     };
     let answer = match answer {
@@ -183,9 +187,12 @@
     loop {
         let partial = coming.filter(|_| values.depth > 0 && !warned).map(|since| since + PARTIAL);
         let until = partial.map_or(alive + SILENCE, |at| at.min(alive + SILENCE));
-        let Ok(frame) = timeout_at(until.min(stall.look_at()), body.frame()).await else {
+        let Ok(frame) = timeout_at(stall.look_at_or(until), body.frame()).await else {
             let now = Instant::now();
-            stall.idle(now);
+            if !stall.idle(now) {
+                // What came meanwhile is still to be read.
+                continue;
+            }
             if now >= alive + SILENCE {
                 return End::Silent;
             }
--- a/engine/src/driver/watch.rs
+++ b/engine/src/driver/watch.rs
@@ -103,6 +103,7 @@
             return;
         }
         let (handle, discovery, since) = (handle.clone(), self.desk.config.discovery, self.hosts.seq);
+        let last_look = self.fresh.last_look();
         let pushed = !self.desk.config.settings.ask;
         self.watch.number += 1;
         self.watch.opened = Instant::now();
@@ -112,8 +113,10 @@
         self.desk.log(&format!("watch {number}: opened from version {from}, last alive {silence:.3?} ago"));
         // The task of the last watch, if there is one, ends here.
         self.watch.task = Some(task::spawn(async move {
-            let end =
-                discovery::watch(discovery, pushed, since, |sign| handle.watch_shows(number, sign)).await;
+            let end = discovery::watch(discovery, pushed, since, last_look, |sign| {
+                handle.watch_shows(number, sign)
+            })
+            .await;
             if let Some(retry) = handle.watch_ended(number, end).filter(|_| pushed) {
                 tokio::time::sleep(retry).await;
                 handle.0.borrow_mut().subscribe(&handle);
--- a/engine/src/lib.rs
+++ b/engine/src/lib.rs
@@ -3,15 +3,14 @@
 //!
 //! Its modules in their order; each uses only those before it (`tests/tree.rs`):
 //!
-//! - [`mutant`], [`task`], [`meter`], [`net`], `clock`, `dial`: planted faults for tests, tasks that end with
-//!   their owner, what was written, the seam to the system, time, connections.
+//! - [`mutant`], [`task`], [`stall`], [`meter`], [`net`], `clock`, `dial`: planted faults for tests, tasks that end
+//!   with their owner, tasks that were not run in time, what was written, the seam to the system, time, connections.
 //! - [`list`], [`quota`], [`extras`], [`config`]: the list of hosts' form, connections of the whole process, what
 //!   stations are told, what the engine is told.
 //! - [`protocol`]: the seam to what hosts speak; [`state`] what the engine shows.
 //! - [`calls`], [`station`]: calls on their way, and the subsystems that they pass.
 //! - [`group`]: the seam to other engines of the process, where there are any.
-//! - [`socket`], [`http1`], `stall`, [`discovery`]: HTTP/1.1 behind the seam, tasks that were not run, and the watch of
-//!   the list.
+//! - [`socket`], [`http1`], [`discovery`]: HTTP/1.1 behind the seam, and the watch of the list.
 //! - [`driver`]: events into the module, actions out of it; order, time and the calls.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
@@ -32,7 +31,7 @@
 pub mod protocol;
 pub mod quota;
 pub mod socket;
-mod stall;
+pub mod stall;
 pub mod state;
 pub mod station;
 pub mod task;
--- a/engine/src/meter.rs
+++ b/engine/src/meter.rs
@@ -1,5 +1,6 @@
 //! What was written for one attempt, and when: the proof that rules 1 and 2 rest on.
 
+use crate::stall::LastLook;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -8,12 +9,13 @@
 use tokio::time::Instant;
 
 /// Whether the list that this engine decides by may be written by. Rule 3 (nothing new to a host that drains) counts
-/// from when the process was told: an engine that is behind what its process knows writes nothing new until it has caught
-/// up, and one whose list has expired writes nothing new at all.
+/// from when the process was told: an engine that is behind what its process knows, or that was stalled and has not read
+/// what came meanwhile, writes nothing new until it has caught up, and one whose list has expired writes nothing new at all.
 #[derive(Clone, Debug, Default)]
 pub struct Fresh {
     known: Option<Rc<Known>>,
     expires: Rc<Cell<Option<Instant>>>,
+    last_look: LastLook,
 }
 
 #[derive(Debug)]
@@ -25,7 +27,7 @@
 impl Fresh {
     /// Of an engine whose process counts in `told` what it was told.
     pub fn new(told: Arc<AtomicU64>) -> Fresh {
-        Fresh { known: Some(Rc::new(Known { told, taken: Cell::new(0) })), expires: Rc::default() }
+        Fresh { known: Some(Rc::new(Known { told, taken: Cell::new(0) })), ..Fresh::default() }
     }
 
     /// Sets when the list expires; `None`: it is verified.
@@ -38,6 +40,11 @@
         self.expires.get().is_some_and(|at| Instant::now() >= at)
     }
 
+    /// For the task that reads the list: while it is overdue nothing new is begun.
+    pub fn last_look(&self) -> LastLook {
+        self.last_look.clone()
+    }
+
     /// This engine has taken in all up to here.
     pub fn taken(&self, up_to: u64) {
         if let Some(known) = &self.known {
@@ -46,7 +53,8 @@
     }
 
     fn is_behind(&self) -> bool {
-        self.known.as_ref().is_some_and(|known| known.told.load(Ordering::Acquire) > known.taken.get())
+        let untold = |known: &Rc<Known>| known.told.load(Ordering::Acquire) > known.taken.get();
+        self.last_look.is_overdue() || self.known.as_ref().is_some_and(untold)
     }
 }
 
@@ -178,3 +186,28 @@
         self.0.whole.get()
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::stall::StallDetector;
+
+    /// After a stall nothing is begun until what came meanwhile is read; what was begun goes on.
+    #[test]
+    fn nothing_is_begun_while_the_list_may_be_unread() {
+        let fresh = Fresh::default();
+        let (begun, new) = (Meter::new(fresh.clone(), Repeats::default(), 0), Meter::default());
+        begun.add(1);
+        let next = Meter::new(fresh.clone(), Repeats::default(), 1);
+        assert!(!next.must_wait(), "nobody reads a list");
+        let stalled_from = Instant::now().checked_sub(Duration::from_secs(2)).expect("a moment");
+        let mut reader = StallDetector::new(stalled_from, fresh.last_look());
+        assert!(next.must_wait() && !begun.must_wait() && !new.must_wait());
+        assert!(!reader.idle(Instant::now()), "it looks late");
+        assert!(next.must_wait());
+        assert!(reader.idle(reader.look_at()));
+        assert!(!next.must_wait());
+        drop(reader);
+        assert!(!next.must_wait());
+    }
+}
--- a/engine/src/socket.rs
+++ b/engine/src/socket.rs
@@ -98,7 +98,7 @@
     fn poll_write(self: Pin<&mut Self>, context: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
         let mut io = self.0.io.borrow_mut();
         if self.0.meter.borrow().must_wait() {
-            // What the engine is to hear is on its way to it on this very thread.
+            // What the engine is to hear is read on this very thread, or is on its way to it.
             context.waker().wake_by_ref();
             return Poll::Pending;
         }
--- a/engine/tests/tree.rs
+++ b/engine/tests/tree.rs
@@ -7,6 +7,7 @@
 const ORDER: [&str; 20] = [
     "mutant",
     "task",
+    "stall",
     "meter",
     "net",
     "clock",
@@ -22,7 +23,6 @@
     "station",
     "socket",
     "http1",
-    "stall",
     "discovery",
     "driver",
 ];
--- a/proxy/tests/freshness.rs
+++ b/proxy/tests/freshness.rs
@@ -299,6 +299,23 @@
     });
 }
 
+/// Processes are stopped while their watches bring word of a drain, and clients ask meanwhile. When they go on both lie in
+/// their sockets, and whichever they read first, nothing goes to that server.
+#[test]
+fn a_process_that_goes_on_reads_its_list_before_it_sends() {
+    run(async {
+        let mut fleet = Fleet::start("goes-on", 24, Duration::from_secs(4), |_| ()).await;
+        sleep(Duration::from_millis(500)).await;
+        fleet.processes.iter().for_each(Process::stop);
+        let drained = fleet.drain();
+        sleep(Duration::from_millis(2_000)).await;
+        fleet.processes.iter().for_each(Process::go_on);
+        fleet.ended().await;
+        assert_eq!(fleet.sent_after(drained + GRACE), 0);
+        assert!(fleet.tally.borrow().served > 100);
+    });
+}
+
 /// Discovery is down for longer than a list holds: nothing that it has counts as notified, and clients go on being
 /// served. A server drains meanwhile; once discovery is back that is heeded in time.
 #[test]
