--- a/engine/src/driver/mod.rs
+++ b/engine/src/driver/mod.rs
@@ -345,6 +345,7 @@
             return;
         }
         driver.desk.events.extend(events);
+        driver.take_over_lease();
         let mut actions = Vec::new();
         // What unwinds through here leaves it so.
         driver.torn = driver.desk.group.is_some();
--- a/engine/src/driver/watch.rs
+++ b/engine/src/driver/watch.rs
@@ -158,33 +158,33 @@
         }
     }
 
-    /// Brings the module in step with what the process knows of the list's lease, ahead of whatever it decides next: an
-    /// engine that watches says what it knows, and the others take that over. What the module has is compared, and not
-    /// what was seen before: it may have changed since by a watch of this engine's own.
+    /// Brings the module in step with what the engine that watches has published of the list's lease, ahead of whatever it
+    /// decides next. What the module has is compared, and not what was seen before: it may have changed since by a watch of
+    /// this engine's own.
     pub(super) fn heed_lease(&mut self) {
-        let Some((group, lease)) = self.desk.group.as_ref().and_then(|group| Some((group, group.lease()?)))
-        else {
-            return;
-        };
+        let Some(group) = &self.desk.group else { return };
+        let (watches, Some(lease)) = (group.watches(), group.lease()) else { return };
         // Whatever an engine's watch has proven was told to all.
         self.watch.alive = self.watch.alive.max(lease.alive);
-        let clock = self.desk.clock;
-        if group.watches() {
-            if group.is_superseded() {
-                // This engine was stalled, and its watch may have been lost since: it proves itself anew.
-                let since = clock.at(self.watch.unverified_since());
-                self.watch.takes_over = true;
-                self.desk.events.push_front(Event::Freshness(Freshness::Unverified { since }));
-            }
-            return;
-        }
-        let at = lease.expires.map(|at| clock.at(at));
+        let at = lease.expires.map(|at| self.desk.clock.at(at));
         // Where the list is pushed its lease has no end.
-        if self.desk.config.settings.ask && at != self.balancer.list_expires_at() {
+        if !watches && self.desk.config.settings.ask && at != self.balancer.list_expires_at() {
             self.desk.events.push_front(Event::Freshness(Freshness::Expires { at }));
         }
     }
 
+    /// This engine watches, and another has published since it did: it was stalled, and its watch may have been lost
+    /// meanwhile. It proves itself anew, and publishes what it knows. Once for all events that come together: for a moment
+    /// two engines may take themselves for the one that watches.
+    pub(super) fn take_over_lease(&mut self) {
+        if !self.desk.group.as_ref().is_some_and(|group| group.watches() && group.is_superseded()) {
+            return;
+        }
+        let since = self.desk.clock.at(self.watch.unverified_since());
+        self.watch.takes_over = true;
+        self.desk.events.push_front(Event::Freshness(Freshness::Unverified { since }));
+    }
+
     /// Writes what a list says to the log.
     pub(super) fn log_list(&self, list: &List, kind: ListKind) {
         let count = |health| list.hosts.iter().filter(|host| host.health == health).count();
