A test of the library waits for a state that shows its calls, not for one from before them

The state is shown when the list changes and once a second, and its count of requests never falls: 0 can only be the state that was shown with the list, before the first call. The program has no part in it.

Change: the test waits until the state shows all calls as taken, and then until nothing is left of them. As strict as before: too few taken is a failure by time, too many by count.

--- a/library/tests/application.rs
+++ b/library/tests/application.rs
@@ -521,11 +521,13 @@
                 Err(_) => panics += 1,
             }
         }
+        // The state is shown once a second: what is shown now may be from before the calls. One that is dropped before
+        // the engine took it is never taken.
+        let taken = |state: &State| usize::try_from(state.requests).expect("a count");
+        shown(&fleet, "all are taken", |state| taken(state) + panics >= CALLS).await;
         nothing_left(&fleet).await;
-        let state = fleet.watch().borrow().clone();
-        // One that is dropped before the engine took it is never taken.
-        let taken = usize::try_from(state.requests).expect("a count");
-        assert!(taken <= CALLS && taken + panics >= CALLS, "{taken} taken, {panics} panics");
+        let taken = taken(&fleet.watch().borrow());
+        assert!(taken <= CALLS, "{taken} taken, {panics} panics");
         fleet.shutdown(PATIENCE).await.expect("nothing is open");
     });
     let [served, refused, failed, other] = answers;
