The shared limit is a module of its own; learn and route in short functions

Change: policy/src/shared_limit.rs has the limit and all that changes it; learn() and route() are split by what they decide. No behaviour changes.

--- a/policy/src/balance.rs
+++ b/policy/src/balance.rs
@@ -1,12 +1,14 @@
 //! All decisions of the balancer. Its interface (settings, events, actions) is `src/api.rs`; the mechanism
-//! and the condition of each departure from it are in `docs/design.md`. Budgets are `src/budget.rs`.
+//! and the condition of each departure from it are in `docs/design.md`. Budgets are `src/budget.rs` and
+//! `src/shared_limit.rs`.
 //!
 //! A call goes to the less-loaded of two random servers under their in-flight budgets, waits in the hold when
 //! all are full, may pass one as the trial that can raise it, and is refused when no server is up.
 
 use crate::api::*;
-use crate::budget::{enough, Budget, Pool, RATE_MEMORY, SMOOTHING};
+use crate::budget::{enough, Budget, RATE_MEMORY, SMOOTHING};
 use crate::freshness::ListLease;
+use crate::shared_limit::SharedLimit;
 use crate::state::{Attempt, Call, Pace, Route, Trial};
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg32;
@@ -195,13 +197,21 @@
     }
 }
 
+/// The servers that a call may go to, by their places: all in the window, those with room, and those at which a
+/// probe request may be made.
+struct Candidates {
+    up: Vec<usize>,
+    room: Vec<usize>,
+    trials: Vec<usize>,
+}
+
 /// Decides for one client proxy.
 #[derive(Debug)]
 pub struct Balancer {
     settings: Settings,
     random: Pcg32,
     servers: Vec<Server>,
-    pool: Option<Pool>,
+    shared_limit: Option<SharedLimit>,
     /// By zone: connections that failed in a row, and until when it is passed over.
     cut_off: BTreeMap<ZoneId, (u32, Micros)>,
     calls: BTreeMap<CallId, Call>,
@@ -229,7 +239,7 @@
             random: Pcg32::seed_from_u64(seed),
             paces: settings.classes.iter().map(pace).collect(),
             tenants: vec![0.0; settings.tenants.len()],
-            pool: Pool::new(settings.balancers),
+            shared_limit: SharedLimit::new(settings.balancers),
             lease: ListLease::new(&settings.rules),
             settings,
             servers: Vec::new(),
@@ -474,18 +484,35 @@
         }
     }
 
-    /// Send, hold or refuse?
+    /// Decides whether a call is sent, held or refused.
     fn route(&mut self, now: Micros, id: CallId) -> Route {
         let draw = self.cold_draw(now);
+        let longest = self.longest_usual();
+        let full_limit = self.shared_limit.as_ref().filter(|limit| limit.is_full(now, longest));
+        let limit_full = full_limit.is_some();
+        if full_limit.is_some_and(|limit| !limit.may_probe(now)) {
+            return Route::Hold;
+        }
+        let candidates = self.candidates(now, id, draw, limit_full);
+        let trial = if limit_full { Trial::Pool } else { Trial::No };
+        let picked = self.two_choices(now, &candidates.up);
+        if let Some(server) = picked.filter(|&at| !self.servers[at].full(now, &self.settings.rules)) {
+            return Route::Send { server, trial };
+        }
+        match (self.two_choices(now, &candidates.room), self.two_choices(now, &candidates.trials)) {
+            (Some(server), _) => Route::Send { server, trial },
+            (None, Some(_)) if limit_full => Route::Hold,
+            (None, Some(server)) => Route::Send { server, trial: Trial::Server },
+            (None, None) => self.hold_or_refuse(now),
+        }
+    }
+
+    /// The servers that this call may go to.
+    fn candidates(&self, now: Micros, id: CallId, draw: Option<(f64, f64)>, limit_full: bool) -> Candidates {
         let call = &self.calls[&id];
         let (rules, tick) = (&self.settings.rules, self.settings.tick);
         let longest = self.longest_usual();
         let ready = |s: &Server| s.may_try() && s.tryable(now, longest, rules);
-        let full_pool = self.pool.as_ref().filter(|p| p.up > 0.0 && p.room_at(longest) > now);
-        let pool_full = full_pool.is_some();
-        if full_pool.is_some_and(|p| p.strain > 1.0 || !p.budget.trial_ready(now)) {
-            return Route::Hold;
-        }
         // Where all are of one zone, or of none that is named, there is nothing to go to instead.
         let one = self.cut_off.len() < 2;
         let near = |s: &Server| one || self.cut_off.get(&s.zone).is_none_or(|cut| now >= cut.1);
@@ -504,29 +531,23 @@
         let up: Vec<usize> = untried.clone().take(self.window(now)).collect();
         let free = |s: &Server| !s.full(now, rules) && (draw.is_none() || s.warmth(now, rules) >= 1.0);
         let mut room: Vec<_> = up.iter().copied().filter(|&i| free(&self.servers[i])).collect();
-        let trials: Vec<_> = up.iter().copied().filter(|&i| ready(&self.servers[i])).collect();
+        let trials = up.iter().copied().filter(|&i| ready(&self.servers[i])).collect();
         // The window follows what was in flight: more calls than that at once go on along the ring.
-        if room.is_empty() && self.pool.is_some() && !pool_full {
+        if room.is_empty() && self.shared_limit.is_some() && !limit_full {
             room.extend(untried.skip(up.len()).find(|&i| free(&self.servers[i])));
         }
-        let trial = if pool_full { Trial::Pool } else { Trial::No };
-        match self.two_choices(now, &up).filter(|&at| !self.servers[at].full(now, &self.settings.rules)) {
-            Some(server) => Route::Send { server, trial },
-            None => match (self.two_choices(now, &room), self.two_choices(now, &trials)) {
-                (Some(server), _) => Route::Send { server, trial },
-                (None, Some(_)) if pool_full => Route::Hold,
-                (None, Some(server)) => Route::Send { server, trial: Trial::Server },
-                (None, None) => {
-                    let all = self.servers.iter().filter(|s| s.listed);
-                    let down = all.clone().all(|s| s.budget.steps == 0);
-                    let first = all.map(|s| s.budget.backoff_end).min();
-                    let first = first.filter(|&at| down && !(self.settings.shared && at <= now));
-                    first.map_or(Route::Hold, |at| Route::Refuse {
-                        retry_after: at.saturating_sub(now).max(self.first_backoff()),
-                    })
-                }
-            },
-        }
+        Candidates { up, room, trials }
+    }
+
+    /// Where no server takes a call: it waits, or is refused if all are set aside.
+    fn hold_or_refuse(&self, now: Micros) -> Route {
+        let all = self.servers.iter().filter(|s| s.listed);
+        let down = all.clone().all(|s| s.budget.steps == 0);
+        let first = all.map(|s| s.budget.backoff_end).min();
+        let first = first.filter(|&at| down && !(self.settings.shared && at <= now));
+        first.map_or(Route::Hold, |at| Route::Refuse {
+            retry_after: at.saturating_sub(now).max(self.first_backoff()),
+        })
     }
 
     /// The less loaded of two random ones by own calls in flight, strain breaking ties; where budgets are
@@ -537,7 +558,7 @@
         let a = *among.get(first as usize)?;
         let b = among[((first + 1 + self.below(len - 1)) % len) as usize];
         let (first, second) = (&self.servers[a], &self.servers[b]);
-        if self.pool.is_none() {
+        if self.shared_limit.is_none() {
             let load = |s: &Server| (s.in_flight, s.strain);
             return Some(if load(second) < load(first) { b } else { a });
         }
@@ -563,9 +584,8 @@
         // An answer after the aim is worth little: its server is better used by others.
         let (aim, deadline) = (call.aim_at(), call.deadline);
         let usual = self.usual(class_id, self.calls[&id].class.aim);
-        if let Some(pool) = &mut self.pool {
-            pool.charge(now, usual);
-            pool.budget.trial_out |= trial == Trial::Pool;
+        if let Some(limit) = &mut self.shared_limit {
+            limit.sent(now, usual, trial);
         }
         let until = (aim < deadline && aim as f64 > now as f64 + usual).then_some(aim);
         actions.push(Action::Send { call: id, server, until });
@@ -580,7 +600,7 @@
         // The latest moment at which a second copy can still be in time, but not before the first is slow.
         let copy_at = (aim as f64 - SPARE_TIMES * usual).max(arrived as f64 + 1.5 * usual);
         // A shared budget tells nothing of one server: the copy would only add to the work.
-        let copies = copies == 1 && self.settings.limits.second_copies && self.pool.is_none();
+        let copies = copies == 1 && self.settings.limits.second_copies && self.shared_limit.is_none();
         let copy = copies && copy_at + usual <= aim as f64;
         self.set_wake(id, if copy { (copy_at as Micros).max(now + 1) } else { 0 });
     }
--- a/policy/src/balance/cold.rs
+++ b/policy/src/balance/cold.rs
@@ -52,7 +52,7 @@
     /// They get as large a part of that as takes calls of the warm ones, not what the rest of those leave.
     pub(super) fn cold_draw(&mut self, now: Micros) -> Option<(f64, f64)> {
         let ready = self.ready(now);
-        let drawn = self.pool.is_some() && ready.open >= ready.whole * WARM_LEAST;
+        let drawn = self.shared_limit.is_some() && ready.open >= ready.whole * WARM_LEAST;
         drawn.then(|| (self.chance(), ready.open / ready.warm * (self.settings.rules.bears / 2.0).min(1.0)))
     }
 
--- a/policy/src/balance/learn.rs
+++ b/policy/src/balance/learn.rs
@@ -1,6 +1,6 @@
 //! What a server's answers, reports and silence teach.
 
-use super::{Actions, Balancer, COST_MEMORY, ZONE_DOUBLINGS};
+use super::{Actions, Balancer, Server, COST_MEMORY, ZONE_DOUBLINGS};
 use crate::api::*;
 use crate::budget::{BACKOFF_DOUBLINGS, CUT_MOST, SMOOTHING};
 use crate::state::{Attempt, Trial};
@@ -58,139 +58,245 @@
         took: Micros,
         actions: &mut Actions,
     ) {
-        let Attempt { server: id, zone, started, class_id, sent, trial, .. } = tried;
-        let elapsed = took.max(now.saturating_sub(sent));
-        let (first, longest, longest_aim) = (self.first_backoff(), self.longest_usual(), self.longest_aim());
-        let per = self.window(now) as f64;
-        let usual = self.usual(class_id, self.settings.classes.get(class_id).map_or(0, |c| c.aim));
-        let pace = self.paces.get_mut(class_id);
-        let aim = self.settings.classes.get(class_id).map_or(f64::MAX, |c| c.aim as f64);
-        let base = pace.as_ref().map_or(f64::MAX, |p| p.base);
-        // A shared budget cannot spare the one server that is slow: it heeds what the aim leaves for waiting.
-        let pool_limit = (base * STRAIN_TIMES_SHARED).min(base + (aim - base) * STRAIN_AIM).max(base);
-        let limit = (base * STRAIN_TIMES).min(aim * STRAIN_AIM).max(base);
-        if let Some(pool) = &mut self.pool {
-            pool.charge(now, elapsed as f64 - usual);
-            pool.budget.trial_out &= trial != Trial::Pool;
-            // Time-outs are the pick's: few hosts, or one class of calls, must not shut out all others.
-            if !matches!(outcome, Outcome::NoConnection | Outcome::TimedOut) && !outcome.says_nothing() {
-                let full = if outcome == Outcome::TurnedAway { 1.0 / CUT_MOST } else { 0.0 };
-                let strain = (elapsed as f64 / pool_limit).min(STRAIN_SHARED).max(full);
-                pool.learn(now, strain, elapsed as f64, longest);
-            }
-            match outcome {
-                _ if trial != Trial::Pool => {}
-                Outcome::Served => pool.budget.trial_served(),
-                _ => pool.budget.back_off(now, first),
-            }
-        }
-        // A zone that is cut off fails server by server: after a few in a row it is passed over as a whole.
-        // On connections that were there before, packets that go nowhere show by time-outs alone.
-        let lost = matches!(outcome, Outcome::NoConnection | Outcome::Reset);
-        let late = outcome == Outcome::TimedOut;
-        let cut = self.cut_off.entry(zone).or_default();
-        if (lost || late) && self.pool.is_some() {
-            let doublings = cut.0.min(BACKOFF_DOUBLINGS + ZONE_DOUBLINGS);
-            *cut = (cut.0.saturating_add(1), now + ((first << doublings) >> ZONE_DOUBLINGS));
-        } else if !outcome.says_nothing() {
-            *cut = (0, 0);
-        }
+        let ended = self.ended(now, tried, outcome, took);
+        self.learn_shared_limit(now, &ended);
+        self.learn_zone(now, &ended);
         if outcome == Outcome::NoConnection {
             self.narrowed.refused(now);
         }
-        let Ok(place) = self.servers.binary_search_by_key(&id, |s| s.id) else { return };
-        let server = &mut self.servers[place];
-        if server.started != started {
+        let Ok(place) = self.servers.binary_search_by_key(&tried.server, |s| s.id) else { return };
+        if self.servers[place].started != tried.started {
             return; // What a server's last process did says nothing of the new one.
         }
+        self.learn_cost(place, now, &ended);
+        let Some(failed) = self.servers[place].has_failed(&ended) else {
+            self.servers[place].budget.trial_out &= tried.trial != Trial::Server;
+            return;
+        };
+        self.learn_answer(place, now, &ended, failed);
+        self.learn_strain(place, now, &ended);
+        self.learn_steps(place, now, &ended, actions);
+        self.learn_rest(place, &ended);
+        self.count();
+    }
+
+    /// An attempt's end with what was known of its class and of this balancer just before.
+    fn ended(&self, now: Micros, tried: Attempt, outcome: Outcome, took: Micros) -> Ended {
+        let class = self.settings.classes.get(tried.class_id);
+        Ended {
+            tried,
+            outcome,
+            elapsed: took.max(now.saturating_sub(tried.sent)) as f64,
+            usual: self.usual(tried.class_id, class.map_or(0, |c| c.aim)),
+            aim: class.map_or(f64::MAX, |c| c.aim as f64),
+            base: self.paces.get(tried.class_id).map_or(f64::MAX, |p| p.base),
+            longest_usual: self.longest_usual(),
+            window: self.window(now) as u64,
+        }
+    }
+
+    fn learn_shared_limit(&mut self, now: Micros, ended: &Ended) {
+        let first_backoff = self.first_backoff();
+        let Some(limit) = &mut self.shared_limit else { return };
+        let &Ended { outcome, elapsed, .. } = ended;
+        limit.ended(now, elapsed, ended.usual, ended.tried.trial);
+        // Time-outs are the pick's: few servers, or one class of calls, must not shut out all others.
+        if !matches!(outcome, Outcome::NoConnection | Outcome::TimedOut) && !outcome.says_nothing() {
+            let full = if outcome == Outcome::TurnedAway { 1.0 / CUT_MOST } else { 0.0 };
+            let strain = (elapsed / ended.shared_allowance()).min(STRAIN_SHARED).max(full);
+            limit.answered(now, strain, elapsed, ended.longest_usual);
+        }
+        if ended.tried.trial == Trial::Pool {
+            limit.probed(now, outcome == Outcome::Served, first_backoff);
+        }
+    }
+
+    /// A zone that is cut off fails server by server: after a few in a row it is passed over as a whole.
+    /// On connections that were there before, packets that go nowhere show by time-outs alone.
+    fn learn_zone(&mut self, now: Micros, ended: &Ended) {
+        let first_backoff = self.first_backoff();
+        let cut = self.cut_off.entry(ended.tried.zone).or_default();
+        if (ended.lost() || ended.late()) && self.shared_limit.is_some() {
+            let doublings = cut.0.min(BACKOFF_DOUBLINGS + ZONE_DOUBLINGS);
+            *cut = (cut.0.saturating_add(1), now + ((first_backoff << doublings) >> ZONE_DOUBLINGS));
+        } else if !ended.outcome.says_nothing() {
+            *cut = (0, 0);
+        }
+    }
+
+    /// What a call costs at this server beside the usual.
+    fn learn_cost(&mut self, place: usize, now: Micros, ended: &Ended) {
+        let longest_aim = self.longest_aim();
+        let server = &mut self.servers[place];
         server.in_flight = server.in_flight.saturating_sub(1);
         // What was not served counts as a whole aim: quick refusals and errors must not make it look idle.
-        let fair = matches!(outcome, Outcome::Served | Outcome::Stale | Outcome::Unusable);
+        let fair = matches!(ended.outcome, Outcome::Served | Outcome::Stale | Outcome::Unusable);
         let least = if fair { 0.0 } else { longest_aim };
         let past = (-(now.saturating_sub(server.heard) as f64) / COST_MEMORY).exp();
         server.slow = 1.0 + (server.slow - 1.0) * past;
-        server.slow +=
-            ((least.max(elapsed as f64) / usual).clamp(0.001, 8.0) - server.slow) * 2.0 * SMOOTHING;
-        let strain = (elapsed as f64 / limit).min(4.0);
-        let failed = match outcome {
-            Outcome::Served => false,
-            // Late while others are answered: the server is slow, not gone, and is sent less, not nothing.
-            Outcome::TimedOut if server.answered > sent => false,
-            _ if outcome.says_nothing() => {
-                server.budget.trial_out &= trial != Trial::Server;
-                return;
-            }
-            _ => true,
-        };
-        // A time-out proves less than an error: a crowded server may owe a lone call for that long. So does
-        // what one connection did: now and then an answer is spoilt or breaks off at any server.
-        let weak = matches!(outcome, Outcome::TimedOut | Outcome::Unknown | Outcome::Reset);
-        let weight = if weak { FAIL_WEIGHT / 2.0 } else { FAIL_WEIGHT };
+        let cost = (least.max(ended.elapsed) / ended.usual).clamp(0.001, 8.0);
+        server.slow += (cost - server.slow) * 2.0 * SMOOTHING;
+    }
+
+    /// The server's strain and share of failures, and its class's usual time.
+    fn learn_answer(&mut self, place: usize, now: Micros, ended: &Ended, failed: bool) {
+        let longest_aim = self.longest_aim();
+        let server = &mut self.servers[place];
+        let weight = if ended.is_weak() { FAIL_WEIGHT / 2.0 } else { FAIL_WEIGHT };
         server.failing += (if failed { 1.0 } else { 0.0 } - server.failing) * weight;
         // Few answers a second must not make the strain a memory of long ago.
         let gap = now.saturating_sub(server.heard) as f64 / longest_aim;
         let weight = SMOOTHING.max(1.0 - (-gap).exp());
         server.heard = now;
         if !failed {
+            let strain = (ended.elapsed / ended.allowance()).min(4.0);
             server.strain += (strain.max(server.crowding) - server.strain) * weight;
             server.answers_since += 1;
+            // Answers alone would make the mean that of the lucky: late ones count for what was waited.
+            let pace = self.paces.get_mut(ended.tried.class_id);
+            pace.into_iter().for_each(|p| p.answered(now, ended.elapsed));
         }
-        // Answers alone would make the mean that of the lucky: late ones count for what was waited.
-        pace.filter(|_| !failed).into_iter().for_each(|p| p.answered(now, elapsed as f64));
-        if outcome == Outcome::Served {
-            server.answered = now;
+        if ended.outcome == Outcome::Served {
+            self.servers[place].answered = now;
             self.served += 1;
         }
-        // Latency well above an unloaded server's is the sign, beside refusals, of too much in flight.
-        if outcome == Outcome::TurnedAway {
+    }
+
+    /// Latency well above an unloaded server's is the sign, beside refusals, of too much in flight.
+    fn learn_strain(&mut self, place: usize, now: Micros, ended: &Ended) {
+        let server = &mut self.servers[place];
+        if ended.outcome == Outcome::TurnedAway {
             server.budget.cut(CUT_FULL, true);
             // Fast refusals leave it looking idle: without a pause it would draw in call after call.
-            server.not_before = server.not_before.max(now + longest as Micros);
-        } else if server.strain > 1.0 && server.settled(now, longest) {
+            server.not_before = server.not_before.max(now + ended.longest_usual as Micros);
+        } else if server.strain > 1.0 && server.settled(now, ended.longest_usual) {
             server.budget.cut(1.0 / server.strain, server.strain > STRAIN_DEEP);
             server.strain = server.strain.sqrt(); // The cut answers for part of it: one jam is cut for once.
             (server.answers_since, server.changed) = (0, now);
         }
+    }
+
+    /// The steps of the server's limit: lost connections, probe requests, and setting it aside.
+    fn learn_steps(&mut self, place: usize, now: Micros, ended: &Ended, actions: &mut Actions) {
+        let first_backoff = self.first_backoff();
+        let most_up = (self.aside + 1) * 2 <= self.listed;
+        let server = &mut self.servers[place];
         let was_up = server.budget.steps > 0;
         // One connection that broke is no proof against a server that has only just answered: a step goes
         // when one more breaks soon after, and the last step with the server's share of failures.
-        let lively = server.answered > 0 && now.saturating_sub(server.answered) <= first;
+        let lively = server.answered > 0 && now.saturating_sub(server.answered) <= first_backoff;
         let proof = server.failing > FAIL_LIMIT / 2.0 && server.budget.steps > 1;
-        server.budget.steps -= u32::from(lost && was_up && (proof || !lively));
-        server.budget.trial_out &= trial != Trial::Server;
-        if trial == Trial::Server {
-            if outcome != Outcome::Served {
-                server.budget.back_off(now, first);
-            } else if was_up || server.failing < FAIL_LIMIT / 2.0 {
-                server.budget.trial_served();
-                (server.answers_since, server.changed) = (0, now);
-                let news = if was_up { News::Grown } else { News::TakenBack };
-                actions.extend(server.room.map(|_| Action::Tell { server: id, news }));
-                if !was_up {
-                    actions.push(Action::Log { text: format!("server {} taken back", server.id.0) });
-                }
-            }
+        server.budget.steps -= u32::from(ended.lost() && was_up && (proof || !lively));
+        server.budget.trial_out &= ended.tried.trial != Trial::Server;
+        if ended.tried.trial == Trial::Server {
+            server.probed(now, ended.outcome, was_up, first_backoff, actions);
         }
         // Fast errors and refusals make a server look idle: its budget alone would draw calls in.
-        if was_up && server.failing > FAIL_LIMIT && (self.aside + 1) * 2 <= self.listed {
+        if was_up && server.failing > FAIL_LIMIT && most_up {
             server.budget.steps = 0;
         }
         if was_up && server.budget.steps == 0 {
-            server.budget.back_off(now, first);
+            server.budget.back_off(now, first_backoff);
             // What it showed before says nothing of how it will be when it comes back.
             server.strain = 1.0;
-            actions.push(Action::Log { text: format!("server {} set aside", server.id.0) });
+            let id = server.id;
+            actions.push(Action::Log { text: format!("server {} set aside", id.0) });
             actions.extend(server.room.map(|_| Action::Tell { server: id, news: News::SetAside }));
         }
-        let served = u32::from(outcome == Outcome::Served);
-        server.late = (server.late + u32::from(late)).saturating_sub(served).min(LATE_MOST);
-        // Many balancers that each try it now and then are no rest: it is tried by a part of the usual calls.
-        if self.pool.is_some() && late {
-            server.rest = self.served + ((per as u64) << (REST_ROUNDS + server.late));
+    }
+
+    /// Many balancers that each try a late server now and then are no rest: it is tried by a part of the
+    /// usual calls.
+    fn learn_rest(&mut self, place: usize, ended: &Ended) {
+        let server = &mut self.servers[place];
+        let served = u32::from(ended.outcome == Outcome::Served);
+        server.late = (server.late + u32::from(ended.late())).saturating_sub(served).min(LATE_MOST);
+        if self.shared_limit.is_some() && ended.late() {
+            server.rest = self.served + (ended.window << (REST_ROUNDS + server.late));
         }
-        if self.pool.is_some() && (outcome == Outcome::TurnedAway || server.budget.steps == 0) {
-            server.rest = self.served + ((per as u64) << server.budget.doublings);
+        let away = ended.outcome == Outcome::TurnedAway || server.budget.steps == 0;
+        if self.shared_limit.is_some() && away {
+            server.rest = self.served + (ended.window << server.budget.doublings);
         }
-        self.count();
+    }
+}
+
+impl Server {
+    /// Whether this end counts as a failure of the server; `None`: it says nothing of it.
+    fn has_failed(&self, ended: &Ended) -> Option<bool> {
+        match ended.outcome {
+            Outcome::Served => Some(false),
+            // Late while others are answered: the server is slow, not gone, and is sent less, not nothing.
+            Outcome::TimedOut if self.answered > ended.tried.sent => Some(false),
+            outcome if outcome.says_nothing() => None,
+            _ => Some(true),
+        }
+    }
+
+    /// A probe request of this server's own has ended.
+    fn probed(
+        &mut self,
+        now: Micros,
+        outcome: Outcome,
+        was_up: bool,
+        first_backoff: Micros,
+        actions: &mut Actions,
+    ) {
+        if outcome != Outcome::Served {
+            self.budget.back_off(now, first_backoff);
+        } else if was_up || self.failing < FAIL_LIMIT / 2.0 {
+            self.budget.trial_served();
+            (self.answers_since, self.changed) = (0, now);
+            let news = if was_up { News::Grown } else { News::TakenBack };
+            actions.extend(self.room.map(|_| Action::Tell { server: self.id, news }));
+            if !was_up {
+                actions.push(Action::Log { text: format!("server {} taken back", self.id.0) });
+            }
+        }
+    }
+}
+
+/// How an attempt ended. Times are in microseconds.
+struct Ended {
+    tried: Attempt,
+    outcome: Outcome,
+    /// How long it was out.
+    elapsed: f64,
+    /// Its class's usual answer time, aim, and unloaded answer time.
+    usual: f64,
+    aim: f64,
+    base: f64,
+    /// The longest usual answer time of all classes.
+    longest_usual: f64,
+    /// Servers in the window.
+    window: u64,
+}
+
+impl Ended {
+    /// Its connection did not come up or broke.
+    fn lost(&self) -> bool {
+        matches!(self.outcome, Outcome::NoConnection | Outcome::Reset)
+    }
+
+    fn late(&self) -> bool {
+        self.outcome == Outcome::TimedOut
+    }
+
+    /// A time-out proves less than an error: a crowded server may owe a lone call for that long. So does
+    /// what one connection did: now and then an answer is spoilt or breaks off at any server.
+    fn is_weak(&self) -> bool {
+        matches!(self.outcome, Outcome::TimedOut | Outcome::Unknown | Outcome::Reset)
+    }
+
+    /// Answer time beyond which the server's own limit is strained.
+    fn allowance(&self) -> f64 {
+        (self.base * STRAIN_TIMES).min(self.aim * STRAIN_AIM).max(self.base)
+    }
+
+    /// The same for the limit of all servers. It cannot spare the one that is slow: it heeds what the aim
+    /// leaves for waiting.
+    fn shared_allowance(&self) -> f64 {
+        let waiting = self.base + (self.aim - self.base) * STRAIN_AIM;
+        (self.base * STRAIN_TIMES_SHARED).min(waiting).max(self.base)
     }
 }
--- a/policy/src/balance/list.rs
+++ b/policy/src/balance/list.rs
@@ -59,6 +59,6 @@
     pub(super) fn count(&mut self) {
         self.listed = self.servers.iter().filter(|s| s.listed).count();
         self.aside = self.servers.iter().filter(|s| s.listed && s.budget.steps == 0).count();
-        self.pool.iter_mut().for_each(|p| p.up = (self.listed - self.aside) as f64);
+        self.shared_limit.iter_mut().for_each(|limit| limit.up = (self.listed - self.aside) as f64);
     }
 }
--- a/policy/src/balance/window.rs
+++ b/policy/src/balance/window.rs
@@ -37,7 +37,7 @@
 
 impl Balancer {
     pub(super) fn window(&self, now: Micros) -> usize {
-        let busy = self.pool.as_ref().map_or(f64::MAX, |p| p.used / BUSY);
+        let busy = self.shared_limit.as_ref().map_or(f64::MAX, |limit| limit.used / BUSY);
         let least = (LEAST - self.narrowed.now(now)).ceil();
         (busy as usize).max(least as usize).min(self.servers.len())
     }
--- a/policy/src/budget.rs
+++ b/policy/src/budget.rs
@@ -1,5 +1,5 @@
-//! How many calls may be in flight: the budget of a server and the one that all servers may share. Who gets a
-//! call is decided in `balance.rs`.
+//! How many calls may be in flight at one server: its concurrency limit. Which call goes where is decided in
+//! `balance.rs`; the limit over all servers is `shared_limit.rs`.
 
 use crate::api::Micros;
 
@@ -17,11 +17,6 @@
 pub(crate) const SMOOTHING: f64 = 0.1;
 /// Doublings of a backoff up to its cap.
 pub(crate) const BACKOFF_DOUBLINGS: u32 = 4;
-/// A server's first budget under which all servers share one: half a call, which would round to none.
-const POOL_UNDER: f64 = 0.5;
-/// Usual calls that a shared budget lets go at once; what it is cut to at the least, as a share of the first.
-const POOL_BURST: f64 = 2.0;
-const POOL_FLOOR: f64 = 0.05;
 /// Memory of the rate of answers.
 pub(crate) const RATE_MEMORY: f64 = 3e6;
 
@@ -75,58 +70,3 @@
 pub(crate) fn enough(answers: u32, since: Micros, usual: f64) -> bool {
     f64::from(answers) * SMOOTHING >= 1.0 || since as f64 >= 2.0 * usual
 }
-
-/// The budget of all servers together, where one server's would be far under a call: a thousand balancers at
-/// a call each would crowd it, and each meets it too seldom to learn what it takes. It bounds the mean number
-/// in flight; its trial and its backoff are shared by all servers.
-#[derive(Debug, Default)]
-pub(crate) struct Pool {
-    pub(crate) budget: Budget,
-    pub(crate) up: f64,
-    /// Time in flight that was taken ahead of the budget, and when that was reckoned.
-    pub(crate) debt: f64,
-    pub(crate) at: Micros,
-    pub(crate) used: f64,
-    pub(crate) strain: f64,
-    pub(crate) answers: u32,
-    pub(crate) changed: Micros,
-    pub(crate) heard: Micros,
-}
-
-impl Pool {
-    pub(crate) fn new(balancers: u32) -> Option<Self> {
-        let mut budget = Budget::new(balancers);
-        budget.floor = budget.concurrency * POOL_FLOOR;
-        (budget.concurrency < POOL_UNDER).then(|| Pool { budget, ..Pool::default() })
-    }
-
-    pub(crate) fn total(&self) -> f64 {
-        f64::from(self.budget.steps) * self.budget.concurrency * self.up
-    }
-
-    pub(crate) fn charge(&mut self, now: Micros, time: f64) {
-        let paid = self.total() * now.saturating_sub(self.at) as f64;
-        (self.debt, self.at) = ((self.debt - paid).max(0.0) + time, now);
-    }
-
-    pub(crate) fn room_at(&self, usual: f64) -> Micros {
-        let over = (self.debt - POOL_BURST * usual).max(0.0) / self.total().max(f64::MIN_POSITIVE);
-        self.at.saturating_add(over as Micros)
-    }
-
-    /// Strain seen at whichever server lowers the budget, counted from what was used of it.
-    pub(crate) fn learn(&mut self, now: Micros, strain: f64, elapsed: f64, usual: f64) {
-        let gap = now.saturating_sub(self.heard) as f64 / RATE_MEMORY;
-        self.heard = now;
-        self.used = self.used * (-gap).exp() + elapsed / RATE_MEMORY;
-        self.strain += (strain - self.strain) * SMOOTHING.max(1.0 - (-gap).exp());
-        self.answers += 1;
-        if self.strain > 1.0 && enough(self.answers, now.saturating_sub(self.changed), usual) {
-            let used = self.used / (f64::from(self.budget.steps) * self.up.max(1.0));
-            self.budget.concurrency = self.budget.concurrency.min(used.max(self.budget.floor));
-            self.budget.cut(1.0 / self.strain, false);
-            self.strain = self.strain.sqrt();
-            (self.answers, self.changed) = (0, now);
-        }
-    }
-}
