--- a/policy/src/balance.rs
+++ b/policy/src/balance.rs
@@ -197,8 +197,8 @@
     }
 }
 
-/// The servers that a call may go to, by their places: all in the window, those with room, and those at which a
-/// probe request may be made.
+/// The servers that a call may go to, by their places: all in the window, those with room, and those at
+/// which a probe request may be made.
 struct Candidates {
     up: Vec<usize>,
     room: Vec<usize>,
