A call with little time waits for room; a refusal names a time that is not zero

What callers saw: with several engines a request whose client waits for less than a quarter of its class's aim was refused at once now and then, with "Retry-After: 0.000", though its server was idle; obeyed, that brings the client back at once.

Cause: a held call is given up when an answer of the usual time would come too late. Until an answer was seen, a quarter of the class's aim stood for that time, 1.25 s there, so such a call was to be given up one microsecond after it was held. With one engine it is never held where there is room. With several it is held until the room that it asks for comes, as the next event; where the watching engine had published a lease in that moment, Freshness came before Rooms, the call was given up, and the time that it had waited, some 20 us, was its Retry-After.

Of all refusals only those by a wait can be below half a millisecond, and no other call was there.

Mending: until an answer was seen, a quarter of what the call itself has stands for it, also where it is decided whether a call may join the queue or go again (the same guess). A held call is kept for a tick at the least. No refusal names a shorter time than the one until held calls are looked at again.

--- a/policy/src/balance.rs
+++ b/policy/src/balance.rs
@@ -25,6 +25,8 @@
 
 /// Time over which a class's unloaded answer time may drift up to its present mean.
 const BASE_DRIFT: f64 = 120e6;
+/// Answer time of a class of which none was seen, as a share of what a call has.
+const UNSEEN_SHARE: f64 = 0.25;
 /// First backoff as a share of the longest aim.
 const BACKOFF_AIM: f64 = 0.25;
 /// Wait in the hold beyond which new calls are refused, as a share of their aim.
@@ -234,7 +236,11 @@
 impl Balancer {
     /// A balancer that draws all its random numbers from `seed`.
     pub fn new(seed: u64, settings: Settings) -> Self {
-        let pace = |c: &Class| Pace { mean: c.aim as f64 / 4.0, base: c.aim as f64 / 4.0, ..Pace::default() };
+        let pace = |c: &Class| Pace {
+            mean: c.aim as f64 * UNSEEN_SHARE,
+            base: c.aim as f64 * UNSEEN_SHARE,
+            ..Pace::default()
+        };
         Balancer {
             random: Pcg32::seed_from_u64(seed),
             paces: settings.classes.iter().map(pace).collect(),
@@ -362,7 +368,7 @@
     /// late. Classes whose worth for their work outweighs the goal's part of the worst class wait longest.
     fn wait_limit(&self, id: CallId, over_share: bool) -> Micros {
         let call = &self.calls[&id];
-        let usual = self.usual(call.class_id, call.class.aim);
+        let usual = self.expected(call);
         let aim = call.aim_at().saturating_sub(call.arrived) as f64;
         let limit = match over_share {
             true => aim * WAIT_AIM / 2.0,
@@ -393,18 +399,30 @@
     }
 
     fn usual(&self, class_id: usize, aim: Micros) -> f64 {
-        self.paces.get(class_id).map_or(aim as f64 / 4.0, |p| p.mean)
+        self.paces.get(class_id).map_or(aim as f64 * UNSEEN_SHARE, |p| p.mean)
+    }
+
+    /// How long an answer to this call takes, in microseconds: its class's usual time, once one was seen.
+    /// Until then it is a part of what the call has: the class's aim may be longer than its client waits.
+    fn expected(&self, call: &Call) -> f64 {
+        match self.paces.get(call.class_id) {
+            Some(pace) if pace.seen > 0 => pace.mean,
+            _ => call.aim_at().saturating_sub(call.arrived) as f64 * UNSEEN_SHARE,
+        }
     }
 
     /// Puts a call into the hold; one that goes again is older than those waiting and goes to the front.
     fn enqueue(&mut self, now: Micros, id: CallId, again: bool) {
         let Some(call) = self.calls.get_mut(&id) else { return };
         call.held = true;
-        // Its way out: when a usual answer could not come in time, and always before the client gives up.
-        let (class_id, aim, last) =
-            (call.class_id, call.class.aim, call.deadline.saturating_sub(self.settings.tick));
-        let wake = call.aim_at().saturating_sub(self.usual(class_id, aim) as Micros).max(now + 1);
-        self.set_wake(id, wake.min(last.max(now)).max(1));
+        let call = &self.calls[&id];
+        // Its way out: when a usual answer could not come in time, and always before the client gives up. Not
+        // in this very moment: room that it asks others of the process for comes by the events that follow.
+        let tick = self.settings.tick.max(1);
+        let last = call.deadline.saturating_sub(tick).max(now);
+        let hopeless = call.aim_at().saturating_sub(self.expected(call) as Micros);
+        let wake = hopeless.max(now.saturating_add(tick)).min(last).max(1);
+        self.set_wake(id, wake);
         self.hold.insert(if again { 0 } else { self.hold.len() }, id);
     }
 
@@ -439,7 +457,7 @@
             return self.give_up(id, self.first_backoff(), GivenUp::ListExpired, actions);
         }
         let call = &self.calls[&id];
-        let in_time = now as f64 + self.usual(call.class_id, call.class.aim) < call.aim_at() as f64;
+        let in_time = now as f64 + self.expected(call) < call.aim_at() as f64;
         let some = self.servers.iter().any(|s| s.listed && call.may_go(now, s, self.settings.tick));
         let more = (call.attempts.len() as u32) < self.settings.limits.max_attempts;
         if in_time && some && more && (self.retries >= 1.0 || outcome == Outcome::NoConnection) {
@@ -451,7 +469,8 @@
     }
 
     fn give_up(&mut self, id: CallId, retry_after: Micros, reason: GivenUp, actions: &mut Actions) {
-        let retry_after = retry_after.min(self.settings.limits.max_retry_after);
+        // By the next look at held calls there may be room, not before.
+        let retry_after = retry_after.max(self.look_every()).min(self.settings.limits.max_retry_after);
         let refused = self.calls[&id].may_be_refused();
         actions.push(if refused {
             Action::Refuse { call: id, retry_after, reason }
@@ -693,8 +712,7 @@
             next = next.min(at);
         }
         if !self.hold.is_empty() {
-            // Budgets, backoffs and pauses end at no event: held calls are looked at now and then.
-            next = next.min(now + self.settings.tick.max(self.first_backoff() / 8));
+            next = next.min(now.saturating_add(self.look_every()));
         }
         if next < self.timer_at {
             self.timer_at = next;
@@ -706,6 +724,11 @@
         ((self.longest_aim() * BACKOFF_AIM) as Micros).max(1_000)
     }
 
+    /// How often held calls are looked at: limits, backoffs and pauses end at no event.
+    fn look_every(&self) -> Micros {
+        self.settings.tick.max(self.first_backoff() / 8)
+    }
+
     fn longest_aim(&self) -> f64 {
         self.settings.classes.iter().map(|c| c.aim).max().unwrap_or(0).max(1) as f64
     }
--- a/policy/tests/shared.rs
+++ b/policy/tests/shared.rs
@@ -3,7 +3,9 @@
 mod common;
 
 use common::{settings, Proxy, MS};
-use nettleworks_policy::{Action, Event, Load, News, Outcome, Repeat, Room, ServerId, Settings};
+use nettleworks_policy::{
+    Action, CallId, ClassId, Event, Freshness, Load, Micros, News, Outcome, Repeat, Room, ServerId, Settings,
+};
 
 fn shared(servers: u32) -> Proxy {
     let settings = Settings { shared: true, balancers: 1, ..settings(Repeat::Free) };
@@ -84,3 +86,56 @@
     heard(&mut proxy, News::SetAside, 20 * MS);
     assert!(allows(&proxy) > 0.0);
 }
+
+/// The number of a call that no other call of these tests has.
+const SHORT: CallId = CallId(9_000);
+
+fn call_with(proxy: &mut Proxy, time_left: Micros) -> Vec<Action> {
+    let event = Event::Request { call: SHORT, class: ClassId(0), tenant: None, time_left, resent: false };
+    proxy.event(event)
+}
+
+/// Guards against calls refused at once, by what an answer takes before any was seen, where room comes a moment later.
+#[test]
+fn a_call_with_little_time_waits_for_room_while_no_answer_time_is_known() {
+    let mut proxy = shared(1);
+    // Less than the quarter of the aim that stands for an answer time until one is seen.
+    assert!(sent(&call_with(&mut proxy, 100 * MS)).is_empty());
+    proxy.now += 20;
+    proxy.event(Event::Freshness(Freshness::Verified));
+    proxy.wait(30 * MS);
+    assert_eq!(sent(&room(&mut proxy, &[(1, 1, false)])), [1], "{:?}", proxy.actions);
+}
+
+/// The same where the usual answer time is known, and longer than the call has: room of this moment is used.
+#[test]
+fn a_call_with_hardly_any_time_is_not_given_up_by_the_event_that_comes_before_its_room() {
+    let mut proxy = shared(1);
+    room(&mut proxy, &[(1, 1, false)]);
+    for _ in 0..20 {
+        proxy.serve(100 * MS);
+    }
+    room(&mut proxy, &[(1, 0, false)]);
+    assert!(sent(&call_with(&mut proxy, 50 * MS)).is_empty());
+    proxy.now += 20;
+    proxy.event(Event::Freshness(Freshness::Verified));
+    assert_eq!(sent(&room(&mut proxy, &[(1, 1, false)])), [1], "{:?}", proxy.actions);
+}
+
+/// Guards against a refusal with a wait of nothing, which brings its client back at once.
+#[test]
+fn a_refusal_names_a_time_also_where_the_call_waited_for_none() {
+    let mut proxy = shared(1);
+    room(&mut proxy, &[(1, 1, false)]);
+    for _ in 0..20 {
+        proxy.serve(100 * MS);
+    }
+    room(&mut proxy, &[(1, 0, false)]);
+    let mut actions = call_with(&mut proxy, 50 * MS);
+    actions.extend((0..5).flat_map(|_| proxy.wait(MS)));
+    let after = actions.iter().find_map(|action| match action {
+        Action::Refuse { call: SHORT, retry_after, .. } => Some(*retry_after),
+        _ => None,
+    });
+    assert!(after.is_some_and(|after| after >= 10 * MS), "{after:?}");
+}
