Rest counts no longer where most servers rest: calls go again after a time of time-outs

What callers saw: after some seconds in which most calls timed out, a proxy with a shared limit refused all of its calls for nine seconds to two minutes, while every server was well and nothing was out.

Cause: a server rests after a time-out until the balancer has had so many answers (or 9 s, doubled by each further time-out up to 144 s). Where all servers rest nothing is sent, so there are no answers, and no rest ends but by time.

Mending: where more than half of the servers that are up rest, rest does not count: there is nothing to go to instead. Each server's share of failures, refusals as full and backoff hold as before.

--- a/policy/src/balance.rs
+++ b/policy/src/balance.rs
@@ -126,14 +126,27 @@
     }
 
     fn open(&self, now: Micros, served: u64, rules: &Rules) -> bool {
-        let paced = served >= self.cold_answers || now >= self.cold_until || self.warmth(now, rules) >= 1.0;
-        paced && self.rested(now, served)
+        self.paced(now, served, rules) && self.rested(now, served)
+    }
+
+    /// Whether it is warm, or its turn among the cold ones has come.
+    fn paced(&self, now: Micros, served: u64, rules: &Rules) -> bool {
+        served >= self.cold_answers || now >= self.cold_until || self.warmth(now, rules) >= 1.0
     }
 
     fn rested(&self, now: Micros, served: u64) -> bool {
+        self.takes_calls(now) && self.has_rested(now, served)
+    }
+
+    /// Whether it is listed and has not just refused.
+    fn takes_calls(&self, now: Micros) -> bool {
+        self.listed && now >= self.not_before
+    }
+
+    /// Whether its rest after time-outs is over: so many answers of this balancer, or so long a time.
+    fn has_rested(&self, now: Micros, served: u64) -> bool {
         let span = 3.0 * RATE_MEMORY * f64::from(1 << self.late);
-        let rested = served >= self.rest || now.saturating_sub(self.heard) as f64 >= span;
-        self.listed && now >= self.not_before && rested
+        served >= self.rest || now.saturating_sub(self.heard) as f64 >= span
     }
 
     /// May a call go beyond its budget, to learn whether it takes more?
@@ -535,10 +548,13 @@
         // Where all are of one zone, or of none that is named, there is nothing to go to instead.
         let one = self.cut_off.len() < 2;
         let near = |s: &Server| one || self.cut_off.get(&s.zone).is_none_or(|cut| now >= cut.1);
-        let open = |i: usize, s: &Server| match draw {
-            Some(draw) => s.rested(now, self.served) && cold::takes(draw, i, s.warmth(now, rules)),
-            None => s.open(now, self.served, rules),
+        let rest_counts = self.rest_counts(now);
+        let rested = |s: &Server| s.takes_calls(now) && (!rest_counts || s.has_rested(now, self.served));
+        let turn = |i: usize, s: &Server| match draw {
+            Some(draw) => cold::takes(draw, i, s.warmth(now, rules)),
+            None => s.paced(now, self.served, rules),
         };
+        let open = |i: usize, s: &Server| rested(s) && turn(i, s);
         let allowed =
             |i: usize, s: &Server| s.budget.steps > 0 && open(i, s) && near(s) && call.may_go(now, s, tick);
         // Windows begin at even distances on the ring of servers: each server is in as many as any other.
@@ -558,6 +574,18 @@
         Candidates { up, room, trials }
     }
 
+    /// Whether servers may rest. Where most do, there is nothing to go to instead, and a rest that is counted
+    /// in answers of this balancer would never end.
+    fn rest_counts(&self, now: Micros) -> bool {
+        let up = self.servers.iter().filter(|s| s.listed && s.budget.steps > 0);
+        let (mut all, mut rested) = (0, 0);
+        for server in up {
+            all += 1;
+            rested += u32::from(server.has_rested(now, self.served));
+        }
+        rested * 2 >= all
+    }
+
     /// Where no server takes a call: it waits, or is refused if all are set aside.
     fn hold_or_refuse(&self, now: Micros) -> Route {
         let all = self.servers.iter().filter(|s| s.listed);
--- a/policy/tests/fleet.rs
+++ b/policy/tests/fleet.rs
@@ -264,6 +264,34 @@
     assert!(refusals <= 50, "each fourth call times out, sixty servers answer the rest at once: {refusals}");
 }
 
+/// Guards against a rest that never ends: each is counted in answers of the balancer, of which there are none where all
+/// servers rest.
+#[test]
+fn servers_that_all_rest_after_time_outs_get_calls_again() {
+    let limits = Limits { max_attempts: 1, ..Settings::default().limits };
+    let mut proxy = Proxy::new(Settings { balancers: 30, limits, ..settings(Repeat::SingleShot) }, 30);
+    // Four seconds in which three of four calls time out at whichever server, and then none.
+    let mut out = Vec::<(Micros, CallId, Outcome)>::new();
+    let (mut asked, mut served) = (0, 0);
+    for step in 0..600 {
+        proxy.now += 20 * MS;
+        let (now, mut actions) = (proxy.now, Vec::new());
+        for (_, call, outcome) in out.extract_if(.., |o| o.0 <= now).collect::<Vec<_>>() {
+            let elapsed = if outcome == Outcome::TimedOut { 500 * MS } else { 40 * MS };
+            served += usize::from(step >= 400 && outcome == Outcome::Served);
+            actions.extend(proxy.end(call, 0, outcome, elapsed));
+        }
+        actions.extend(proxy.call().1);
+        asked += usize::from(step >= 400);
+        for (call, _) in sent(&actions) {
+            let silent = (100..300).contains(&step) && !call.0.is_multiple_of(4);
+            let (took, outcome) = if silent { (500, Outcome::TimedOut) } else { (40, Outcome::Served) };
+            out.push((now + took * MS, call, outcome));
+        }
+    }
+    assert!(served * 10 >= asked * 9, "{served} of {asked} from two seconds after the end of it");
+}
+
 #[test]
 fn a_burst_of_a_balancer_with_few_calls_goes_beyond_its_window() {
     let mut proxy = Proxy::new(Settings { balancers: 20, ..settings(Repeat::SingleShot) }, 60);
