A refusal never says Retry-After: 0.000; where there is nothing to advise it says nothing

What callers saw: where the settings allow no advice (max_retry_after_us 0, and the default of a file without it), and for waits under half a millisecond, 503 came with "Retry-After: 0.000". A client that obeys it comes again at once.

Cause: the time was printed as it was, rounded to the nearest millisecond (proxy/src/requests.rs). The interface of the decision module says of the setting: "0: it is given none".

Evidence: the new test gets Some("0.000") before, and no header now.

Mending: the time is rounded up, and zero is no advice.

--- a/proxy/src/requests.rs
+++ b/proxy/src/requests.rs
@@ -249,13 +249,16 @@
     Response::from_parts(head, body)
 }
 
-/// Turned away unharmed; the client may come again after this time.
+/// Turned away unharmed; the client may come again after this time, rounded up to milliseconds. After zero it is not
+/// told when: it would come again at once.
 pub fn refused(after: Duration) -> Answer {
     let mut answer = plain(StatusCode::SERVICE_UNAVAILABLE);
-    let seconds = format!("{:.3}", after.as_secs_f64());
-    answer
-        .headers_mut()
-        .extend(HeaderValue::try_from(seconds).ok().map(|value| (header::RETRY_AFTER, value)));
+    let milliseconds = after.as_micros().div_ceil(1_000);
+    if milliseconds > 0 {
+        let seconds = format!("{}.{:03}", milliseconds / 1_000, milliseconds % 1_000);
+        let value = HeaderValue::try_from(seconds).ok();
+        answer.headers_mut().extend(value.map(|value| (header::RETRY_AFTER, value)));
+    }
     answer
 }
 
--- a/proxy/tests/suite/requests.rs
+++ b/proxy/tests/suite/requests.rs
@@ -170,6 +170,19 @@
     });
 }
 
+/// Guards against an advice of zero, which brings a client back at once, where the settings allow none.
+#[test]
+fn a_refusal_without_advice_names_no_time() {
+    run(async {
+        let proxy = Proxy::with(&Discovery::quiet().await, &[], |config| {
+            config["settings"]["limits"]["max_retry_after_us"] = 0.into();
+        })
+        .await;
+        let answer = proxy.client().await.ask(&request("unsafe", "", "").replace("8000", "300")).await;
+        assert_eq!((answer.status(), answer.header("retry-after")), (503, None), "{answer:?}");
+    });
+}
+
 /// A client that goes away must not leave its attempt behind.
 #[test]
 fn a_client_that_closes_ends_its_attempt() {
