The shared limit grows as far as it is used, and falls as answers become longer

(2) With growth bound by use alone the limits of all still came to 19 a server while answers went from 1.2 to 2.2 times the unloaded time within ten seconds; the first cut came at the end of these, as strain counts only answers, each at 1.2 at the most. (3) Time in flight was charged in lumps, and paid after the cut by the lesser limit: seconds with nothing out. (4) Calls that time out were charged in full though no answer was late, as where work never ends.

Mending (policy/src/shared_limit.rs): a served probe raises the limit only while 1.5 times what answered calls use reaches it, and while answers have gone less than 0.4 of the way from the unloaded time to what is allowed (under 12 calls a server, where strain has always led, the latter does not matter); from 0.6 on it falls, down to those 12. From three calls on it bounds the number in flight, which leaves no debt; below that the bucket stays, but no pause is longer than a call in flight at a quarter of the first limit. A call out past 1.5 times what is allowed counts only while late answers are seen beside it: without any it is work that never ends or a silent server.

--- a/policy/src/balance.rs
+++ b/policy/src/balance.rs
@@ -8,7 +8,7 @@
 use crate::api::*;
 use crate::budget::{enough, Budget, RATE_MEMORY, SMOOTHING};
 use crate::freshness::ListLease;
-use crate::shared_limit::SharedLimit;
+use crate::shared_limit::{SharedLimit, LATE_TIMES};
 use crate::state::{Attempt, Call, Pace, Route, Trial};
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg32;
@@ -526,7 +526,7 @@
             return Route::Hold;
         }
         let candidates = self.candidates(now, id, draw, limit_full);
-        let trial = if limit_full { Trial::Pool } else { Trial::No };
+        let trial = if limit_full { Trial::Shared } else { Trial::No };
         let picked = self.two_choices(now, &candidates.up);
         if let Some(server) = picked.filter(|&at| !self.servers[at].full(now, &self.settings.rules)) {
             return Route::Send { server, trial };
@@ -627,12 +627,16 @@
             cut.1 = cut.1.max(now.saturating_add(call.class.aim));
         }
         let (class_id, sent, outcome) = (call.class_id, now, None);
-        call.attempts.push(Attempt { server, started, zone, cell, class_id, sent, trial, outcome });
+        let base = self.paces.get(class_id).map_or(f64::MAX, |pace| pace.base);
+        let allowance = learn::shared_allowance(base, call.class.aim as f64);
+        let late_at = now.saturating_add((allowance * LATE_TIMES) as Micros);
+        let tried = Attempt { server, started, zone, cell, class_id, sent, trial, late_at, outcome };
+        call.attempts.push(tried);
         // An answer after the aim is worth little: its server is better used by others.
         let (aim, deadline) = (call.aim_at(), call.deadline);
         let usual = self.usual(class_id, self.calls[&id].class.aim);
         if let Some(limit) = &mut self.shared_limit {
-            limit.sent(now, usual, trial);
+            limit.sent(now, usual, late_at, trial);
         }
         let until = (aim < deadline && aim as f64 > now as f64 + usual).then_some(aim);
         actions.push(Action::Send { call: id, server, until });
--- a/policy/src/balance/learn.rs
+++ b/policy/src/balance/learn.rs
@@ -3,6 +3,7 @@
 use super::{Actions, Balancer, Server, COST_MEMORY, ZONE_DOUBLINGS};
 use crate::api::*;
 use crate::budget::{BACKOFF_DOUBLINGS, CUT_MOST, SMOOTHING};
+use crate::shared_limit::{Answer, LATE_TIMES};
 use crate::state::{Attempt, Trial};
 
 /// What a refusal as full leaves of the concurrency.
@@ -99,14 +100,20 @@
         let first_backoff = self.first_backoff();
         let Some(limit) = &mut self.shared_limit else { return };
         let &Ended { outcome, elapsed, .. } = ended;
-        limit.ended(now, elapsed, ended.usual, ended.tried.trial);
+        limit.ended(now, elapsed, ended.usual, ended.tried.late_at, ended.tried.trial);
         // Time-outs are the pick's: few servers, or one class of calls, must not shut out all others.
         if !matches!(outcome, Outcome::NoConnection | Outcome::TimedOut) && !outcome.says_nothing() {
             let full = if outcome == Outcome::TurnedAway { 1.0 / CUT_MOST } else { 0.0 };
-            let strain = (elapsed / ended.shared_allowance()).min(STRAIN_SHARED).max(full);
-            limit.answered(now, strain, elapsed, ended.longest_usual);
+            let allowance = shared_allowance(ended.base, ended.aim);
+            let answer = Answer {
+                elapsed,
+                strain: (elapsed / allowance).min(STRAIN_SHARED).max(full),
+                unloaded: ended.base / allowance,
+                is_late: elapsed > allowance * LATE_TIMES,
+            };
+            limit.answered(now, answer, ended.longest_usual);
         }
-        if ended.tried.trial == Trial::Pool {
+        if ended.tried.trial == Trial::Shared {
             limit.probed(now, outcome == Outcome::Served, first_backoff);
         }
     }
@@ -292,11 +299,12 @@
     fn allowance(&self) -> f64 {
         (self.base * STRAIN_TIMES).min(self.aim * STRAIN_AIM).max(self.base)
     }
+}
 
-    /// The same for the limit of all servers. It cannot spare the one that is slow: it heeds what the aim
-    /// leaves for waiting.
-    fn shared_allowance(&self) -> f64 {
-        let waiting = self.base + (self.aim - self.base) * STRAIN_AIM;
-        (self.base * STRAIN_TIMES_SHARED).min(waiting).max(self.base)
-    }
+/// Answer time beyond which the limit of all servers is strained, by a class's unloaded answer time and its
+/// aim, all in microseconds. It cannot spare the one server that is slow: it heeds what the aim leaves for
+/// waiting.
+pub(super) fn shared_allowance(base: f64, aim: f64) -> f64 {
+    let waiting = base + (aim - base) * STRAIN_AIM;
+    (base * STRAIN_TIMES_SHARED).min(waiting).max(base)
 }
--- a/policy/src/lib.rs
+++ b/policy/src/lib.rs
@@ -29,6 +29,7 @@
 mod balance;
 mod budget;
 mod freshness;
+mod in_flight;
 mod shared_limit;
 mod state;
 
--- a/policy/src/state.rs
+++ b/policy/src/state.rs
@@ -7,7 +7,7 @@
 pub(crate) enum Trial {
     No,
     Server,
-    Pool,
+    Shared,
 }
 
 /// An attempt, as it was sent and as it ended.
@@ -20,6 +20,8 @@
     pub(crate) class_id: usize,
     pub(crate) sent: Micros,
     pub(crate) trial: Trial,
+    /// From when on it is late for the limit that all servers share.
+    pub(crate) late_at: Micros,
     /// `None`: it is out.
     pub(crate) outcome: Option<Outcome>,
 }
--- a/policy/tests/fleet.rs
+++ b/policy/tests/fleet.rs
@@ -264,6 +264,74 @@
     assert!(refusals <= 50, "each fourth call times out, sixty servers answer the rest at once: {refusals}");
 }
 
+/// One balancer of a hundred before sixty servers has a burst of eight calls each second for a minute, answered after
+/// 100 ms, and then a hundred within half a second, of which none is answered. How many of these go?
+fn sent_of_a_large_burst_after_small_ones() -> usize {
+    let mut proxy = Proxy::new(Settings { balancers: 100, ..settings(Repeat::SingleShot) }, 60);
+    for _ in 0..60 {
+        let mut out: Vec<CallId> = Vec::new();
+        for _ in 0..8 {
+            out.extend(sent(&proxy.call().1).iter().map(|s| s.0));
+        }
+        proxy.now += 100 * MS;
+        while let Some(call) = out.pop() {
+            out.extend(sent(&proxy.end(call, 0, Outcome::Served, 100 * MS)).iter().map(|s| s.0));
+        }
+        proxy.wait(900 * MS);
+    }
+    let mut burst = 0;
+    for _ in 0..100 {
+        proxy.now += 5 * MS;
+        burst += sent(&proxy.call().1).len();
+    }
+    burst
+}
+
+/// Guards against congestion collapse: a limit that grows by each small burst, however little of it is used, is no bound
+/// to a large one that all balancers have at once.
+#[test]
+fn small_bursts_do_not_raise_the_limit_for_a_large_one() {
+    let burst = sent_of_a_large_burst_after_small_ones();
+    assert!(burst <= 20, "{burst} in flight, where eight are for a tenth of each second");
+}
+
+/// One balancer of a hundred before sixty servers that serve at most so many of its calls at a time, each in 40 ms; what is
+/// beyond that waits there. It is asked for twice as much. The mean number of its calls in flight, over ten seconds.
+fn in_flight_at_servers_that_serve(at_a_time: usize) -> f64 {
+    let mut proxy = Proxy::new(Settings { balancers: 100, ..settings(Repeat::SingleShot) }, 60);
+    let mut free_at = vec![0; at_a_time];
+    let mut out: Vec<(Micros, CallId, Micros)> = Vec::new();
+    let gap = 40 * MS / (2 * at_a_time as u64);
+    let (mut all, mut steps) = (0, 0);
+    while proxy.now < 40_000 * MS {
+        proxy.now += gap;
+        let (now, mut actions) = (proxy.now, Vec::new());
+        for (_, call, at) in out.extract_if(.., |o| o.0 <= now).collect::<Vec<_>>() {
+            actions.extend(proxy.end(call, 0, Outcome::Served, now - at));
+        }
+        // The first ten seconds at half of what they serve.
+        if now > 10_000 * MS || now / gap % 4 == 0 {
+            actions.extend(proxy.call().1);
+        }
+        for (call, _) in sent(&actions) {
+            let first = free_at.iter_mut().min().expect("one that serves");
+            *first = (*first).max(now) + 40 * MS;
+            out.push((*first, call, now));
+        }
+        if now > 30_000 * MS {
+            (all, steps) = (all + out.len(), steps + 1);
+        }
+    }
+    all as f64 / f64::from(steps)
+}
+
+/// Guards against congestion collapse: answers that become longer are the first sign of it, long before they are late.
+#[test]
+fn answers_that_become_longer_stop_the_limit_before_they_take_twice_as_long() {
+    let in_flight = in_flight_at_servers_that_serve(12);
+    assert!((8.0..=24.0).contains(&in_flight), "{in_flight} in flight where twelve are served at a time");
+}
+
 /// Guards against a rest that never ends: each is counted in answers of the balancer, of which there are none where all
 /// servers rest.
 #[test]
