--- a/policy/tests/fleet.rs
+++ b/policy/tests/fleet.rs
@@ -310,7 +310,7 @@
             actions.extend(proxy.end(call, 0, Outcome::Served, now - at));
         }
         // The first ten seconds at half of what they serve.
-        if now > 10_000 * MS || now / gap % 4 == 0 {
+        if now > 10_000 * MS || (now / gap).is_multiple_of(4) {
             actions.extend(proxy.call().1);
         }
         for (call, _) in sent(&actions) {
