Test that a request whose shard is late at its deadline leaves its key unsure

Need: an open risk of the incident: that a request given up after another engine took it is told as unsure had no test that must fail without it.

Change: a test of two engines: a charge crosses to a shard whose thread is then blocked past the deadline; its client gets 502 with key_state "unsure" in its time, and the charge ran once.

--- a/proxy/tests/cores.rs
+++ b/proxy/tests/cores.rs
@@ -152,6 +152,19 @@
     }
 }
 
+/// A client whose connection is a shard's.
+async fn client_of(process: &Process, shard: usize) -> Client {
+    let count = async || process.peers.at(shard, |driver| driver.state().requests).await;
+    loop {
+        let mut client = process.client().await;
+        let before = count().await;
+        assert_eq!(client.ask(&request("free", "", "")).await.status(), 200);
+        if count().await > before {
+            return client;
+        }
+    }
+}
+
 fn charge(key: &str) -> String {
     request("unsafe", &format!("Idempotency-Key: {key}\r\n"), "pays")
 }
@@ -401,6 +414,32 @@
     });
 }
 
+/// Guards against a plain failure where a key may have run: the shard that has a request is late at its deadline, and the
+/// one that handed it over answers in its place.
+#[test]
+fn a_request_whose_shard_is_late_at_its_deadline_leaves_its_key_unsure() {
+    let site = Site::start(vec![echo(3_000, vec![])]);
+    run(async {
+        let sizes = Sizes { patience: Duration::from_secs(20), ..Sizes::of(2) };
+        let process = Process::with(&site, sizes, |_| ());
+        process.ready().await;
+        let mut client = client_of(&process, 0).await;
+        let (late, before) = (process.key_of(1, 2, "late"), site.counts()[0]);
+        let text = charge(&late).replace("X-Budget-Ms: 8000", "X-Budget-Ms: 2000");
+        let ask = spawn_local(async move {
+            let started = Instant::now();
+            (client.ask(&text).await, started.elapsed())
+        });
+        eventually("its host has it", || site.counts() == [before + 1]).await;
+        process.block(1, Duration::from_secs(5));
+        let (answer, took) = ask.await.expect("no panic");
+        assert_eq!((answer.status(), &problem(&answer)[..]), (502, "unsure"), "{answer:?}");
+        assert!(took < Duration::from_secs(4), "in its time: {took:?}");
+        process.stop().await;
+    });
+    assert!(site.ledger.runs().values().all(|runs| *runs == 1), "{:?}", site.ledger.runs());
+}
+
 /// A shard that is slow, and not yet taken for stalled: as many requests wait for it as its queue holds, one more is
 /// refused at once, and those that waited are answered when it goes on.
 #[test]
@@ -410,21 +449,10 @@
         let sizes = Sizes { queue: 2, patience: Duration::from_secs(20), ..Sizes::of(2) };
         let process = Process::with(&site, sizes, |_| ());
         process.ready().await;
-        let other = async |shard: usize| {
-            // A connection of the shard that is not blocked.
-            let count = async || process.peers.at(shard, |driver| driver.state().requests).await;
-            loop {
-                let mut client = process.client().await;
-                let before = count().await;
-                assert_eq!(client.ask(&request("free", "", "")).await.status(), 200);
-                if count().await > before {
-                    return client;
-                }
-            }
-        };
         let mut clients = Vec::new();
         for _ in 0..6 {
-            clients.push(other(0).await);
+            // Of the shard that is not blocked.
+            clients.push(client_of(&process, 0).await);
         }
         process.block(1, Duration::from_secs(2));
         let mut asks = JoinSet::new();
