Log each call to discovery and what was last sent to a server that leaves

The log told that a watch was not answered, not which of its two calls failed, when and how; a 503 to a second call made beside the first looks like a first call that ran out. It told nothing of the last request to a server that drains. Change: calls to discovery are a module with typed failures (time out, bytes of an answer, kind); watches tell the bytes that came and the causes of an error; a line for each server that a list takes out of use; a count of attempts begun by an unverified list. discovery.rs is split by job (call, incoming, values). What the failures lead to is as before.

--- /dev/null
+++ b/engine/src/discovery/mod.rs
@@ -0,0 +1,168 @@
+//! The watch that brings the changes of the list of hosts.
+
+mod call;
+mod incoming;
+mod values;
+
+use crate::dial::BoxError;
+use crate::list::List;
+use crate::stall::{LastLook, StallDetector};
+use call::{hedged, Answer, CallFailure, FailedCall, ASKED, PUSHED};
+use http_body_util::BodyExt;
+use std::error::Error;
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::time::Duration;
+use tokio::time::{timeout_at, Instant};
+use values::Values;
+
+/// A heartbeat comes every 2 s: a watch on which one of them and a half bring nothing whole is taken for dead. What it hid
+/// counts as notified 6 s after it fell silent: what is left is for another one to be opened.
+const SILENCE: Duration = Duration::from_secs(3);
+/// A call that failed after this or more found nobody who answers. One that is refused sooner was read and refused.
+const RAN_OUT: Duration = Duration::from_secs(1);
+/// No heartbeat comes sooner after the head of an answer.
+const BEAT_LEAST: Duration = Duration::from_secs(1);
+/// The pieces of a list follow each other sooner than this.
+const PARTIAL: Duration = Duration::from_millis(100);
+
+/// How a watch ended.
+#[derive(Debug)]
+pub enum End {
+    /// It was open, and nothing came for too long: it is not known since when it tells nothing.
+    Silent,
+    /// There was nobody to answer the call: no connection came up, or it was let run out.
+    Unreachable(BoxError),
+    /// The connection broke or ended, or the call was refused or not answered in time.
+    Failed(BoxError),
+    /// The connection broke or ended while a list was on its way, or what came is no list. What was written counts as
+    /// notified, whether or not it arrived.
+    Cut {
+        /// When the list began to come, or the call was answered for it.
+        since: Instant,
+        /// What happened.
+        reason: BoxError,
+    },
+}
+
+/// What a watch shows while it is open.
+#[derive(Debug)]
+pub enum Sign {
+    /// The call was answered with 200; its lists follow.
+    Answered,
+    /// A whole line or list has come: the watch is alive. Of a list it comes after [`Sign::List`].
+    Alive,
+    /// The same, read late: this process was stalled, and the watch may have broken since.
+    AliveLately,
+    /// A list.
+    List(List),
+    /// A list has begun to come at this moment, and its end is long in coming.
+    Partial(Instant),
+}
+
+/// Watches the list from version `since` on and passes on what comes, until the watch ends. It returns how.
+/// `pushed`: it is an agent, which never lets a call wait. `last_look` tells when the task last looked whether anything has
+/// come.
+pub async fn watch(
+    discovery: SocketAddr,
+    pushed: bool,
+    since: Option<u64>,
+    last_look: LastLook,
+    mut seen: impl FnMut(Sign),
+) -> End {
+    let began = Instant::now();
+    let mut stall = StallDetector::new(began, last_look);
+    let mut answer = pin!(hedged(discovery, since, if pushed { PUSHED } else { ASKED }));
+    let answer = loop {
+        match timeout_at(stall.look_at(), &mut answer).await {
+            Ok(answer) => break answer,
+            Err(_) => {
+                stall.idle(Instant::now());
+            }
+        }
+    };
+    let answer = match answer {
+        Ok(answer) => answer,
+        Err(calls) => return unanswered(&calls, began.elapsed()),
+    };
+    seen(Sign::Answered);
+    follow(answer, stall, &mut seen).await
+}
+
+/// An error with its causes.
+fn describe(error: &(dyn Error + 'static)) -> String {
+    let causes = std::iter::successors(Some(error), |error| (*error).source());
+    causes.map(ToString::to_string).collect::<Vec<_>>().join(": ")
+}
+
+/// How a watch has ended whose calls all failed within this time.
+fn unanswered(calls: &[FailedCall], elapsed: Duration) -> End {
+    let reason = calls.iter().map(FailedCall::to_string).collect::<Vec<_>>().join("; ").into();
+    let any = |kind: fn(&CallFailure) -> bool| calls.iter().any(|call| kind(&call.failure));
+    if any(|failure| matches!(failure, CallFailure::TimedOut)) {
+        return End::Failed(reason);
+    }
+    if any(|failure| matches!(failure, CallFailure::NoConnection(_))) || elapsed >= RAN_OUT {
+        return End::Unreachable(reason);
+    }
+    End::Failed(reason)
+}
+
+async fn follow(answer: Answer, mut stall: StallDetector, seen: &mut impl FnMut(Sign)) -> End {
+    let Answer { mut body, incoming, _connection } = answer;
+    let (mut values, answered) = (Values::default(), Instant::now());
+    let mut alive = answered;
+    // Since when a list is on its way; the first one is from the head on.
+    let mut coming = Some(stall.read(answered).unwrap_or(answered));
+    let mut warned = false;
+    loop {
+        let partial = coming.filter(|_| values.depth > 0 && !warned).map(|since| since + PARTIAL);
+        let until = partial.map_or(alive + SILENCE, |at| at.min(alive + SILENCE));
+        let Ok(frame) = timeout_at(stall.look_at_or(until), body.frame()).await else {
+            let now = Instant::now();
+            if !stall.idle(now) {
+                // What came meanwhile is still to be read.
+                continue;
+            }
+            if now >= alive + SILENCE {
+                return End::Silent;
+            }
+            if let Some(since) = coming.filter(|_| partial.is_some_and(|at| now >= at)) {
+                warned = true;
+                seen(Sign::Partial(since));
+            }
+            continue;
+        };
+        let ended = |reason: String| {
+            let reason = format!("{reason} after {} bytes", incoming.bytes()).into();
+            match coming {
+                Some(since) => End::Cut { since, reason },
+                None => End::Failed(reason),
+            }
+        };
+        let data = match frame {
+            None => return ended(values.end()),
+            Some(Err(error)) => return ended(describe(&error)),
+            Some(Ok(frame)) => frame.into_data(),
+        };
+        let (Ok(data), now) = (data, Instant::now()) else { continue };
+        let late = stall.read(now);
+        // Bytes that never make a whole list are no sign of life.
+        match values.take(&data, |value| serde_json::from_slice(value).map(|list| seen(Sign::List(list)))) {
+            Err(reason) => return End::Cut { since: coming.or(late).unwrap_or(now), reason },
+            Ok(true) => {
+                alive = now;
+                warned = false;
+                // An empty line may come ahead of the first list; a heartbeat comes later.
+                if values.count > 0 || now - answered >= BEAT_LEAST {
+                    coming = None;
+                }
+                seen(if late.is_none() { Sign::Alive } else { Sign::AliveLately });
+            }
+            Ok(false) => {}
+        }
+        if values.depth > 0 {
+            coming.get_or_insert(late.unwrap_or(now));
+        }
+    }
+}
--- a/engine/src/driver/attempts.rs
+++ b/engine/src/driver/attempts.rs
@@ -89,6 +89,10 @@
             })
         };
         self.counts.attempts += 1;
+        self.counts.by_unverified_list += u64::from(self.expires_at.is_some());
+        if let Some(host) = self.hosts.by_number.get_mut(&server) {
+            host.sent_at = Some(now);
+        }
         self.counts.oldest_list = self.counts.oldest_list.max(self.watch.silence());
         call.attempts.push(Some(Attempt {
             server,
--- a/engine/src/driver/members.rs
+++ b/engine/src/driver/members.rs
@@ -1,7 +1,7 @@
 //! The hosts of the list, and what a new list does to them.
 
 use super::{Driver, Handle};
-use crate::calls::call::Attempt;
+use crate::calls::call::{Attempt, Call};
 use crate::list::{self, Health, List};
 use crate::mutant::{self, Mutant};
 use crate::protocol::{Protocol, Target};
@@ -10,6 +10,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::task::spawn_local;
+use tokio::time::Instant;
 
 /// Where a list comes from.
 #[derive(Clone, Copy, Debug)]
@@ -27,6 +28,8 @@
     pub dial: SocketAddr,
     born_ms: u64,
     pub health: Health,
+    /// When the last attempt there was begun.
+    pub sent_at: Option<Instant>,
 }
 
 /// The hosts, by number and by name. In an order of their own: what is done to all of them is done in the same order in
@@ -52,6 +55,12 @@
         self.by_number.get(&server).filter(|host| host.health == Health::Ready).map(|host| host.dial)
     }
 
+    /// The hosts that something new may be written to.
+    fn ready_servers(&self) -> Vec<ServerId> {
+        let ready = self.by_number.iter().filter(|(_, host)| host.health == Health::Ready);
+        ready.map(|(&server, _)| server).collect()
+    }
+
     /// The number of a host, and whether it is new, or has moved or started again.
     fn intern(
         &mut self,
@@ -71,9 +80,9 @@
             server
         });
         let (dial, born_ms, health) = (entry.dial, entry.born_ms, entry.health);
-        let host = self.by_number.entry(server).or_insert(Host { dial, born_ms, health });
+        let host = self.by_number.entry(server).or_insert(Host { dial, born_ms, health, sent_at: None });
         let moved = (host.dial, host.born_ms) != (dial, born_ms);
-        *host = Host { dial, born_ms, health };
+        (host.dial, host.born_ms, host.health) = (dial, born_ms, health);
         (server, known.is_none(), moved)
     }
 }
@@ -107,6 +116,7 @@
         let cached = matches!(source, Source::Known);
         // What unwinds through here leaves it so.
         driver.torn = driver.desk.group.is_some();
+        let ready_before = driver.hosts.ready_servers();
         let hosts = &mut driver.hosts;
         hosts.listed |= !cached || !list.hosts.is_empty();
         hosts.seq = Some(list.seq);
@@ -133,6 +143,7 @@
             entries.push(Entry { server, state, zone, cell, started, weight: entry.share });
         }
         driver.log_list(&list, kind);
+        driver.log_leaving(&ready_before);
         // The module hears of the list before it hears of what the list undoes.
         driver.desk.events.push_back(Event::Members { kind, entries });
         driver.withdraw();
@@ -164,6 +175,21 @@
         server
     }
 
+    /// Writes to the log which of these servers a list has taken out of use, and what was last sent there.
+    fn log_leaving(&self, ready_before: &[ServerId]) {
+        for &server in ready_before {
+            let Some(host) = self.hosts.by_number.get(&server) else { continue };
+            if host.health == Health::Ready {
+                continue;
+            }
+            let out = self.desk.calls.values().flat_map(Call::out).filter(|out| out.server == server).count();
+            let last = host.sent_at.map_or("never".to_owned(), |at| format!("{:.3?} ago", at.elapsed()));
+            let health = host.health;
+            self.desk
+                .log(&format!("server {} is {health:?}: last sent to {last}, {out} attempts out", server.0));
+        }
+    }
+
     /// Takes back what is not yet written to hosts that are not ready, or no longer there, or by a list that has expired,
     /// and closes what is idle at those: a send counts when it is written, not when it was decided.
     pub(super) fn withdraw(&mut self) {
--- a/engine/src/driver/shown.rs
+++ b/engine/src/driver/shown.rs
@@ -18,6 +18,8 @@
     pub failed: BTreeMap<GivenUp, u64>,
     /// Attempts that were taken back unwritten, as a list did not name their server ready any more.
     pub withdrawn: u64,
+    /// Attempts begun while no watch verified the list.
+    pub by_unverified_list: u64,
     /// The longest time for which no watch had shown that it was alive when an attempt began.
     pub oldest_list: Duration,
 }
