--- a/crew/src/process.rs
+++ b/crew/src/process.rs
@@ -54,9 +54,22 @@
         folder: &Path,
         engines: usize,
         history: &History,
+    ) -> Process {
+        Process::in_environment(program, number, folder, engines, &[], history)
+    }
+
+    /// The same with these variables in its environment.
+    pub fn in_environment(
+        program: &Path,
+        number: usize,
+        folder: &Path,
+        engines: usize,
+        environment: &[(String, String)],
+        history: &History,
     ) -> Process {
         let mut command = Command::new(program);
         command.arg(folder.join("config.json")).arg("--cores").arg(engines.to_string());
+        command.envs(environment.iter().map(|(name, value)| (name, value)));
         Process::spawn(command, number, folder, history)
     }
 
--- /dev/null
+++ b/proxy/tests/discovery_faults.rs
@@ -0,0 +1,51 @@
+//! Faults between one process and a discovery that is up, with real processes: none of them is an outage of discovery, and
+//! none makes a list last longer than it may.
+
+mod faults;
+mod fleet;
+
+use faults::Faults;
+use fleet::{Fleet, GRACE, TOLD};
+use nettleworks_standins::*;
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// Incident 5521: discovery is up and crowded. It lets a call wait and refuses it, and refuses at once what the process
+/// calls meanwhile.
+#[test]
+fn a_refusal_of_the_second_of_two_calls_is_not_taken_for_an_outage() {
+    run(async {
+        let mut fleet = Fleet::start("crowd", 1, Duration::from_secs(14), |_| ()).await;
+        fleet.relay.arrivals(Arrival::Crowded(Duration::from_millis(2_400)));
+        fleet.relay.reset_after(0);
+        let lost = fleet.drain();
+        fleet.ended().await;
+        let (late, tally) = (fleet.sent_after(lost + TOLD + GRACE), fleet.tally.borrow());
+        assert_eq!(late, 0, "sent to a drained server over {GRACE:?} after it counts as told");
+        assert!(tally.refused > 0 && tally.served > 50, "{} refused, {} served", tally.refused, tally.served);
+    });
+}
+
+/// Connects of this process alone fail, and discovery serves all others.
+#[test]
+fn errors_of_this_machine_are_not_taken_for_an_outage() {
+    run(async {
+        for percent in [90, 100] {
+            let mut fleet = Fleet::prepare(&format!("local-{percent}"), 1).await;
+            let faults = Faults::new(fleet.folder(), percent);
+            fleet.in_environment(faults.environment());
+            fleet.serve(1, Duration::from_secs(12), |_| ()).await;
+            let port = u32::from(fleet.relay.address.port());
+            faults.set(&[("connect_port", port), ("connect_percent", percent as u32)]);
+            sleep(Duration::from_millis(100)).await;
+            fleet.relay.reset_after(0);
+            let lost = fleet.drain();
+            fleet.ended().await;
+            let (late, tally) = (fleet.sent_after(lost + TOLD + GRACE), fleet.tally.borrow());
+            assert_eq!(late, 0, "{percent}: sent to a drained server over {GRACE:?} after it counts as told");
+            // Where some connects come up, a list comes in time.
+            let all = tally.refused + tally.served;
+            assert!(percent == 100 || tally.refused * 20 <= all, "{} refused of {all}", tally.refused);
+        }
+    });
+}
--- /dev/null
+++ b/proxy/tests/faults/faults.c
@@ -0,0 +1,117 @@
+/* Faults of system calls, for a process that a test starts: loaded with LD_PRELOAD.
+ *
+ * FAULTS_FILE names a file of "name value" lines, which is read again every 20 ms, so that a test can begin and end faults:
+ *   connect_port N       connects to this port fail ...
+ *   connect_percent N    ... with this chance, with one of the errors below
+ *   socket_error N       socket() fails with this errno
+ *   short_per_mille N    recv() and send() move only a part of what they could, with this chance
+ * FAULTS_SEED seeds the draws.
+ */
+#define _GNU_SOURCE
+#include <arpa/inet.h>
+#include <dlfcn.h>
+#include <errno.h>
+#include <netinet/in.h>
+#include <pthread.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <time.h>
+
+static const int CONNECT_ERRORS[] = {ENETUNREACH, EADDRNOTAVAIL, ENOBUFS, EHOSTUNREACH, EAGAIN};
+static const uint64_t REREAD_NS = 20000000;
+
+static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
+static struct {
+    unsigned connect_port, connect_percent, socket_error, short_per_mille;
+} faults;
+static uint64_t read_at, state;
+
+static void reread(void) {
+    struct timespec now;
+    clock_gettime(CLOCK_MONOTONIC, &now);
+    uint64_t ns = (uint64_t)now.tv_sec * 1000000000u + (uint64_t)now.tv_nsec;
+    if (read_at != 0 && ns - read_at < REREAD_NS) return;
+    read_at = ns;
+    const char *path = getenv("FAULTS_FILE");
+    FILE *file = path ? fopen(path, "re") : NULL;
+    if (!file) return;
+    memset(&faults, 0, sizeof faults);
+    char name[32];
+    unsigned value;
+    while (fscanf(file, "%31s %u", name, &value) == 2) {
+        if (!strcmp(name, "connect_port")) faults.connect_port = value;
+        if (!strcmp(name, "connect_percent")) faults.connect_percent = value;
+        if (!strcmp(name, "socket_error")) faults.socket_error = value;
+        if (!strcmp(name, "short_per_mille")) faults.short_per_mille = value;
+    }
+    fclose(file);
+}
+
+/* A number below `most`. The lock is held. */
+static uint64_t draw(uint64_t most) {
+    if (state == 0) {
+        const char *seed = getenv("FAULTS_SEED");
+        state = (seed ? strtoull(seed, NULL, 10) : 0) * 2862933555777941757u + 3037000493u;
+    }
+    state ^= state << 13;
+    state ^= state >> 7;
+    state ^= state << 17;
+    return (state >> 11) % most;
+}
+
+int socket(int domain, int type, int protocol) {
+    static int (*next)(int, int, int);
+    if (!next) next = (int (*)(int, int, int))dlsym(RTLD_NEXT, "socket");
+    pthread_mutex_lock(&lock);
+    reread();
+    int error = (int)faults.socket_error;
+    pthread_mutex_unlock(&lock);
+    if (error != 0) {
+        errno = error;
+        return -1;
+    }
+    return next(domain, type, protocol);
+}
+
+int connect(int fd, const struct sockaddr *address, socklen_t length) {
+    static int (*next)(int, const struct sockaddr *, socklen_t);
+    if (!next) next = (int (*)(int, const struct sockaddr *, socklen_t))dlsym(RTLD_NEXT, "connect");
+    int error = 0;
+    if (address->sa_family == AF_INET) {
+        unsigned port = ntohs(((const struct sockaddr_in *)address)->sin_port);
+        pthread_mutex_lock(&lock);
+        reread();
+        if (port == faults.connect_port && draw(100) < faults.connect_percent)
+            error = CONNECT_ERRORS[draw(sizeof CONNECT_ERRORS / sizeof CONNECT_ERRORS[0])];
+        pthread_mutex_unlock(&lock);
+    }
+    if (error != 0) {
+        errno = error;
+        return -1;
+    }
+    return next(fd, address, length);
+}
+
+/* How much of `length` bytes is moved. */
+static size_t part(size_t length) {
+    pthread_mutex_lock(&lock);
+    reread();
+    if (length > 1 && draw(1000) < faults.short_per_mille) length = 1 + draw(length > 64 ? 64 : length - 1);
+    pthread_mutex_unlock(&lock);
+    return length;
+}
+
+ssize_t recv(int fd, void *buffer, size_t length, int flags) {
+    static ssize_t (*next)(int, void *, size_t, int);
+    if (!next) next = (ssize_t(*)(int, void *, size_t, int))dlsym(RTLD_NEXT, "recv");
+    return next(fd, buffer, part(length), flags);
+}
+
+ssize_t send(int fd, const void *buffer, size_t length, int flags) {
+    static ssize_t (*next)(int, const void *, size_t, int);
+    if (!next) next = (ssize_t(*)(int, const void *, size_t, int))dlsym(RTLD_NEXT, "send");
+    return next(fd, buffer, part(length), flags);
+}
--- a/standins/src/relay.rs
+++ b/standins/src/relay.rs
@@ -24,6 +24,8 @@
     Passes,
     /// Its request is answered 503 after this time.
     Refused(Duration),
+    /// It waits and is answered 503 after this time, unless another one waits: then it is answered 503 at once.
+    Crowded(Duration),
     /// It stays open and is never answered.
     Hangs,
     /// It is reset.
@@ -50,6 +52,7 @@
     /// Connections so far.
     pub accepted: Rc<Cell<usize>>,
     arrival: Rc<Cell<Arrival>>,
+    waiting: Rc<Cell<usize>>,
     harm: Rc<RefCell<watch::Sender<Harm>>>,
 }
 
@@ -61,13 +64,15 @@
             address: listener.local_addr().expect("an address"),
             accepted: Rc::default(),
             arrival: Rc::new(Cell::new(Arrival::Passes)),
+            waiting: Rc::default(),
             harm: Rc::new(RefCell::new(watch::Sender::new(Harm::None))),
         };
         let serving = relay.clone();
         spawn_local(async move {
             while let Ok((near, _)) = listener.accept().await {
                 serving.accepted.set(serving.accepted.get() + 1);
-                spawn_local(meet(near, target, serving.arrival.get(), serving.harm.borrow().subscribe()));
+                let (arrival, harm) = (serving.arrival.get(), serving.harm.borrow().subscribe());
+                spawn_local(meet(near, target, arrival, serving.waiting.clone(), harm));
             }
         });
         relay
@@ -99,7 +104,13 @@
     }
 }
 
-async fn meet(near: TcpStream, target: SocketAddr, arrival: Arrival, harm: watch::Receiver<Harm>) {
+async fn meet(
+    near: TcpStream,
+    target: SocketAddr,
+    arrival: Arrival,
+    waiting: Rc<Cell<usize>>,
+    harm: watch::Receiver<Harm>,
+) {
     match arrival {
         Arrival::Passes => {
             if let Ok(far) = TcpStream::connect(target).await {
@@ -111,13 +122,11 @@
                 pass(near, far, harm, Some(bytes)).await;
             }
         }
-        Arrival::Refused(after) => {
-            let mut reader = Reader::new(near);
-            if reader.message().await.is_some() {
-                sleep(after).await;
-                // It may have gone.
-                let _ = reader.stream.write_all(REFUSAL).await;
-            }
+        Arrival::Refused(after) => refuse(near, after).await,
+        Arrival::Crowded(after) => {
+            let others = waiting.replace(waiting.get() + 1);
+            refuse(near, if others == 0 { after } else { Duration::ZERO }).await;
+            waiting.set(waiting.get() - 1);
         }
         Arrival::Hangs => {
             let mut near = near;
@@ -127,6 +136,16 @@
     }
 }
 
+/// Answers a request 503 after a time.
+async fn refuse(near: TcpStream, after: Duration) {
+    let mut reader = Reader::new(near);
+    if reader.message().await.is_some() {
+        sleep(after).await;
+        // It may have gone.
+        let _ = reader.stream.write_all(REFUSAL).await;
+    }
+}
+
 /// A connection without time to linger is reset when it is closed.
 fn reset(stream: &TcpStream) {
     let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
