Only calls that prove an outage renew the list's lease

Cause: any failed call for the list renewed its lease. A connect that failed by an error of this machine was taken for an outage, and so was a crowd's refusal of the second call made beside the first: its time was counted from the first call's begin, over a second. Why it works: outage.rs judges each failed call by itself and by its kind; nobody listens, or all calls ran out and none was refused at once within 6 s. Everything else leaves the lease alone. An error of this machine is tried again after 10 ms, which costs discovery nothing.

--- a/engine/src/discovery/call.rs
+++ b/engine/src/discovery/call.rs
@@ -2,6 +2,7 @@
 
 use super::incoming::{Incoming, Observed};
 use crate::dial::{dial, BoxError};
+use crate::net::Stream;
 use crate::task::{self, Task};
 use http_body_util::Empty;
 use hyper::body::{self, Bytes};
@@ -9,15 +10,19 @@
 use hyper_util::rt::TokioIo;
 use std::fmt;
 use std::future::Future;
+use std::io;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::{timeout, timeout_at, Instant};
+use tokio::time::{sleep, timeout, timeout_at, Instant};
 
 /// Time for a connection to discovery. Nobody queues there.
 const CONNECT: Duration = Duration::from_secs(1);
 
+/// After an error of this machine's own the next try for a connection comes so much later.
+const CONNECT_AGAIN: Duration = Duration::from_millis(10);
+
 /// How long an answer is waited for.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Patience {
@@ -45,8 +50,10 @@
 
 /// Why a call has no answer to follow.
 #[derive(Debug)]
-pub(super) enum CallFailure {
-    /// No connection came up.
+pub enum CallFailure {
+    /// Nobody listens at discovery's address.
+    ConnectionRefused(BoxError),
+    /// No connection came up for another reason: this machine's, the network's, or in time.
     NoConnection(BoxError),
     /// The connection broke before the head of an answer had come.
     Broken(BoxError),
@@ -58,17 +65,19 @@
 
 /// A call that has failed.
 #[derive(Debug)]
-pub(super) struct FailedCall {
+pub struct FailedCall {
     /// How long it was out.
     pub took: Duration,
     /// How many bytes of an answer came.
     pub bytes: u64,
+    /// How.
     pub failure: CallFailure,
 }
 
 impl fmt::Display for FailedCall {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match &self.failure {
+            CallFailure::ConnectionRefused(error) => write!(f, "nobody listens ({error})")?,
             CallFailure::NoConnection(error) => write!(f, "no connection ({error})")?,
             CallFailure::Broken(error) => write!(f, "connection broke ({error})")?,
             CallFailure::Refused(status) => write!(f, "discovery answered {status}")?,
@@ -95,11 +104,7 @@
 
     /// Asks for the list from version `since` on, and waits for the head of the answer.
     async fn ask(&self, discovery: SocketAddr, since: Option<u64>) -> Result<Answer, CallFailure> {
-        let stream = match timeout(CONNECT, dial(discovery)).await {
-            Ok(Ok(stream)) => Observed::new(stream, self.incoming.clone()),
-            Ok(Err(error)) => return Err(CallFailure::NoConnection(error.into())),
-            Err(elapsed) => return Err(CallFailure::NoConnection(elapsed.into())),
-        };
+        let stream = Observed::new(connect(discovery).await?, self.incoming.clone());
         let broken = |error: hyper::Error| CallFailure::Broken(error.into());
         let handshake = hyper::client::conn::http1::handshake(TokioIo::new(stream));
         let (mut sender, connection) = handshake.await.map_err(broken)?;
@@ -118,6 +123,25 @@
     }
 }
 
+/// Opens a connection. An error of this machine's own costs discovery nothing, and is soon over as a rule: the next try
+/// comes after a moment, until the time for a connection is over.
+async fn connect(discovery: SocketAddr) -> Result<Stream, CallFailure> {
+    let until = Instant::now() + CONNECT;
+    loop {
+        match timeout_at(until, dial(discovery)).await {
+            Ok(Ok(stream)) => return Ok(stream),
+            Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
+                return Err(CallFailure::ConnectionRefused(error.into()));
+            }
+            Ok(Err(error)) if Instant::now() + CONNECT_AGAIN >= until => {
+                return Err(CallFailure::NoConnection(error.into()));
+            }
+            Ok(Err(_)) => sleep(CONNECT_AGAIN).await,
+            Err(elapsed) => return Err(CallFailure::NoConnection(elapsed.into())),
+        }
+    }
+}
+
 /// Calls discovery, and a second time beside the first where that is not answered soon. The first answer counts.
 ///
 /// # Errors
--- a/engine/src/discovery/mod.rs
+++ b/engine/src/discovery/mod.rs
@@ -2,12 +2,16 @@
 
 mod call;
 mod incoming;
+mod outage;
 mod values;
 
 use crate::dial::BoxError;
 use crate::list::List;
 use crate::stall::{LastLook, StallDetector};
-use call::{hedged, Answer, CallFailure, FailedCall, ASKED, PUSHED};
+pub use call::{CallFailure, FailedCall};
+pub use outage::Outage;
+
+use call::{hedged, Answer, ASKED, PUSHED};
 use http_body_util::BodyExt;
 use std::error::Error;
 use std::net::SocketAddr;
@@ -19,8 +23,6 @@
 /// A heartbeat comes every 2 s: a watch on which one of them and a half bring nothing whole is taken for dead. What it hid
 /// counts as notified 6 s after it fell silent: what is left is for another one to be opened.
 const SILENCE: Duration = Duration::from_secs(3);
-/// A call that failed after this or more found nobody who answers. One that is refused sooner was read and refused.
-const RAN_OUT: Duration = Duration::from_secs(1);
 /// No heartbeat comes sooner after the head of an answer.
 const BEAT_LEAST: Duration = Duration::from_secs(1);
 /// The pieces of a list follow each other sooner than this.
@@ -31,9 +33,9 @@
 pub enum End {
     /// It was open, and nothing came for too long: it is not known since when it tells nothing.
     Silent,
-    /// There was nobody to answer the call: no connection came up, or it was let run out.
-    Unreachable(BoxError),
-    /// The connection broke or ended, or the call was refused or not answered in time.
+    /// It was never open: all its calls failed. In the order in which they were begun.
+    Unanswered(Vec<FailedCall>),
+    /// It was open, and its connection broke or ended.
     Failed(BoxError),
     /// The connection broke or ended while a list was on its way, or what came is no list. What was written counts as
     /// notified, whether or not it arrived.
@@ -70,8 +72,7 @@
     last_look: LastLook,
     mut seen: impl FnMut(Sign),
 ) -> End {
-    let began = Instant::now();
-    let mut stall = StallDetector::new(began, last_look);
+    let mut stall = StallDetector::new(Instant::now(), last_look);
     let mut answer = pin!(hedged(discovery, since, if pushed { PUSHED } else { ASKED }));
     let answer = loop {
         match timeout_at(stall.look_at(), &mut answer).await {
@@ -83,7 +84,7 @@
     };
     let answer = match answer {
         Ok(answer) => answer,
-        Err(calls) => return unanswered(&calls, began.elapsed()),
+        Err(calls) => return End::Unanswered(calls),
     };
     seen(Sign::Answered);
     follow(answer, stall, &mut seen).await
@@ -95,19 +96,6 @@
     causes.map(ToString::to_string).collect::<Vec<_>>().join(": ")
 }
 
-/// How a watch has ended whose calls all failed within this time.
-fn unanswered(calls: &[FailedCall], elapsed: Duration) -> End {
-    let reason = calls.iter().map(FailedCall::to_string).collect::<Vec<_>>().join("; ").into();
-    let any = |kind: fn(&CallFailure) -> bool| calls.iter().any(|call| kind(&call.failure));
-    if any(|failure| matches!(failure, CallFailure::TimedOut)) {
-        return End::Failed(reason);
-    }
-    if any(|failure| matches!(failure, CallFailure::NoConnection(_))) || elapsed >= RAN_OUT {
-        return End::Unreachable(reason);
-    }
-    End::Failed(reason)
-}
-
 async fn follow(answer: Answer, mut stall: StallDetector, seen: &mut impl FnMut(Sign)) -> End {
     let Answer { mut body, incoming, _connection } = answer;
     let (mut values, answered) = (Values::default(), Instant::now());
--- a/engine/src/driver/watch.rs
+++ b/engine/src/driver/watch.rs
@@ -2,7 +2,7 @@
 
 use super::members::Source;
 use super::{Driver, Handle};
-use crate::discovery::{self, End, Sign};
+use crate::discovery::{self, End, FailedCall, Outage, Sign};
 use crate::group::Lease;
 use crate::list::{Health, List};
 use crate::protocol::Protocol;
@@ -34,7 +34,9 @@
     opened: Instant,
     /// When a watch last proved that the list was up to date; the start of the engine before the first.
     alive: Instant,
-    /// When the last call began that could not reach discovery.
+    /// What calls that failed have shown of discovery.
+    outage: Outage,
+    /// When the last watch was opened whose calls proved that discovery is down.
     unreached: Option<Instant>,
     /// Heartbeats of the present one; a list counts for as many as prove.
     beats: u32,
@@ -52,6 +54,7 @@
             failed: 0,
             opened: now,
             alive: now,
+            outage: Outage::default(),
             unreached: None,
             beats: 0,
             takes_over: false,
@@ -262,11 +265,17 @@
         let (open, silence) = (driver.watch.opened.elapsed(), driver.watch.silence());
         let (what, kind) = match &end {
             End::Silent => ("fell silent".to_owned(), ListKind::Silent),
-            End::Unreachable(reason) => (format!("discovery not reached: {reason}"), ListKind::Failed),
+            End::Unanswered(calls) => (format!("not answered: {}", describe(calls)), ListKind::Failed),
             End::Failed(reason) => (format!("failed: {reason}"), ListKind::Failed),
             End::Cut { reason, .. } => (format!("failed within a list: {reason}"), ListKind::Silent),
         };
-        let line = format!("watch {number}: {what}, opened {open:.3?} ago, last alive {silence:.3?} ago");
+        let is_down = match &end {
+            End::Unanswered(calls) => driver.watch.outage.is_proven(calls, Instant::now()),
+            _ => false,
+        };
+        let verdict = if is_down { ", discovery is taken for down" } else { "" };
+        let line =
+            format!("watch {number}: {what}{verdict}, opened {open:.3?} ago, last alive {silence:.3?} ago");
         driver.desk.log(&line);
         let retry = match end {
             End::Silent => Duration::ZERO,
@@ -279,11 +288,11 @@
         let since = clock.at(driver.watch.unverified_since());
         let more = match end {
             End::Cut { since, .. } => Some(Freshness::Withheld { since: clock.at(since) }),
-            End::Unreachable(_) => {
+            End::Unanswered(_) if is_down => {
                 driver.watch.unreached = Some(driver.watch.opened);
                 Some(Freshness::Unreachable { since: clock.at(driver.watch.opened) })
             }
-            End::Silent | End::Failed(_) => None,
+            End::Silent | End::Failed(_) | End::Unanswered(_) => None,
         };
         drop(driver);
         let freshness = std::iter::once(Freshness::Unverified { since }).chain(more);
@@ -291,3 +300,8 @@
         Some(retry)
     }
 }
+
+/// How calls have failed, in words.
+fn describe(calls: &[FailedCall]) -> String {
+    calls.iter().map(FailedCall::to_string).collect::<Vec<_>>().join("; ")
+}
--- a/proxy/tests/fleet/mod.rs
+++ b/proxy/tests/fleet/mod.rs
@@ -1,5 +1,6 @@
 //! Some processes of a large fleet, their servers, and discovery behind a relay, for the tests of how old a list they may
 //! send by. What the servers have run is their ledger's word.
+#![allow(dead_code, reason = "each test binary uses a part of it")]
 
 use nettleworks_crew::{History, Process};
 use nettleworks_standins::*;
