What a watch was to tell that discovery ends in order counts two seconds later

Cause: the end of a watch was one event, a loss, and what it hid counted 6 s after the last sign of life. A watch that discovery closes in order, where it was to tell a change, is like a long poll that is over: the change counts 2 s after that. And a call that proved an outage put off even a list that had been on its way, which counts as written. Why it works: the lease keeps what was missed (2 s after an orderly end, 6 s else) apart from what was withheld, which nothing puts off; calls are spread over 1.5 s at most after an orderly end. The bound of in_every_order_of_events_... is replaced by a stricter one: an outage no longer lifts what was withheld, and orderly ends are among its events.

--- a/engine/src/discovery/mod.rs
+++ b/engine/src/discovery/mod.rs
@@ -14,6 +14,7 @@
 use call::{hedged, Answer, ASKED, PUSHED};
 use http_body_util::BodyExt;
 use std::error::Error;
+use std::io;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::time::Duration;
@@ -35,8 +36,15 @@
     Silent,
     /// It was never open: all its calls failed. In the order in which they were begun.
     Unanswered(Vec<FailedCall>),
-    /// It was open, and its connection broke or ended.
+    /// It was open, and its connection broke.
     Failed(BoxError),
+    /// It was open, and discovery ended it in order, with nothing on its way.
+    Ended {
+        /// When that came, at the earliest.
+        at: Instant,
+        /// In words.
+        reason: BoxError,
+    },
     /// The connection broke or ended while a list was on its way, or what came is no list. What was written counts as
     /// notified, whether or not it arrived.
     Cut {
@@ -90,10 +98,20 @@
     follow(answer, stall, &mut seen).await
 }
 
-/// An error with its causes.
+/// An error and what caused it, in turn.
+fn causes<'a>(error: &'a (dyn Error + 'static)) -> impl Iterator<Item = &'a (dyn Error + 'static)> {
+    std::iter::successors(Some(error), |error| (*error).source())
+}
+
+/// An error with its causes, in words.
 fn describe(error: &(dyn Error + 'static)) -> String {
-    let causes = std::iter::successors(Some(error), |error| (*error).source());
-    causes.map(ToString::to_string).collect::<Vec<_>>().join(": ")
+    causes(error).map(ToString::to_string).collect::<Vec<_>>().join(": ")
+}
+
+/// Whether the other side has closed the connection in order, though not the body of its answer.
+fn is_end_of_file(error: &(dyn Error + 'static)) -> bool {
+    let end = |cause: &io::Error| cause.kind() == io::ErrorKind::UnexpectedEof;
+    causes(error).any(|cause| cause.downcast_ref::<io::Error>().is_some_and(end))
 }
 
 async fn follow(answer: Answer, mut stall: StallDetector, seen: &mut impl FnMut(Sign)) -> End {
@@ -121,20 +139,22 @@
             }
             continue;
         };
-        let ended = |reason: String| {
+        let now = Instant::now();
+        let late = stall.read(now);
+        let ended = |reason: String, in_order: bool| {
             let reason = format!("{reason} after {} bytes", incoming.bytes()).into();
             match coming {
                 Some(since) => End::Cut { since, reason },
+                None if in_order => End::Ended { at: late.unwrap_or(now), reason },
                 None => End::Failed(reason),
             }
         };
         let data = match frame {
-            None => return ended(values.end()),
-            Some(Err(error)) => return ended(describe(&error)),
+            None => return ended(values.end(), true),
+            Some(Err(error)) => return ended(describe(&error), is_end_of_file(&error)),
             Some(Ok(frame)) => frame.into_data(),
         };
-        let (Ok(data), now) = (data, Instant::now()) else { continue };
-        let late = stall.read(now);
+        let Ok(data) = data else { continue };
         // Bytes that never make a whole list are no sign of life.
         match values.take(&data, |value| serde_json::from_slice(value).map(|list| seen(Sign::List(list)))) {
             Err(reason) => return End::Cut { since: coming.or(late).unwrap_or(now), reason },
--- a/engine/src/driver/watch.rs
+++ b/engine/src/driver/watch.rs
@@ -267,6 +267,7 @@
             End::Silent => ("fell silent".to_owned(), ListKind::Silent),
             End::Unanswered(calls) => (format!("not answered: {}", describe(calls)), ListKind::Failed),
             End::Failed(reason) => (format!("failed: {reason}"), ListKind::Failed),
+            End::Ended { reason, .. } => (format!("was ended: {reason}"), ListKind::Failed),
             End::Cut { reason, .. } => (format!("failed within a list: {reason}"), ListKind::Silent),
         };
         let is_down = match &end {
@@ -288,6 +289,7 @@
         let since = clock.at(driver.watch.unverified_since());
         let more = match end {
             End::Cut { since, .. } => Some(Freshness::Withheld { since: clock.at(since) }),
+            End::Ended { at, .. } => Some(Freshness::Ended { at: clock.at(at) }),
             End::Unanswered(_) if is_down => {
                 driver.watch.unreached = Some(driver.watch.opened);
                 Some(Freshness::Unreachable { since: clock.at(driver.watch.opened) })
--- a/policy/src/api.rs
+++ b/policy/src/api.rs
@@ -249,12 +249,17 @@
         /// That moment.
         since: Micros,
     },
+    /// Discovery ended the watch in order then: what it was to tell counts as told soon after.
+    Ended {
+        /// That moment.
+        at: Micros,
+    },
     /// A list was on its way from this moment on, and has not arrived whole. What was written counts as notified then.
     Withheld {
         /// That moment.
         since: Micros,
     },
-    /// A call for the list that began then has met nobody: discovery could not be reached.
+    /// A call for the list that began then has proven that discovery is down: it tells nothing.
     Unreachable {
         /// When the call began.
         since: Micros,
--- a/policy/src/freshness.rs
+++ b/policy/src/freshness.rs
@@ -2,7 +2,8 @@
 //!
 //! A list is a lease. While a watch is open and alive, each change arrives, and the lease has no
 //! end. When the watch breaks or falls silent, changes may be missed, and what is missed counts as
-//! notified a stated time later, whether it has arrived or not. The lease ends before a request
+//! notified a stated time later, whether it has arrived or not. A watch that discovery ends in order
+//! is like a long poll that is over: what it was to tell counts sooner. The lease ends before a request
 //! could reach a server over the grace after that moment; from then on nothing new is sent until a
 //! list has come. One clock stands for all that lies between: noticing, pauses, connections,
 //! answers and their repetitions each have bounds of their own, and it is their sum that counts.
@@ -12,6 +13,8 @@
 /// A change that a broken or silent watch missed, or that came while none was open, counts as
 /// notified at the latest this long after the watch was lost.
 const NOTIFIED_MOST: Micros = 6_000_000;
+/// The same after a watch that was ended in order, from its end on.
+const NOTIFIED_ENDED: Micros = 2_000_000;
 /// The same after the configuration has named another discovery.
 const NOTIFIED_MOVED: Micros = 4_000_000;
 /// After a call that failed the list holds for so many times the time between two calls.
@@ -28,64 +31,89 @@
     /// From the moment at which a change counts as notified to the last at which a request may be
     /// decided by the list before it.
     slack: Micros,
-    /// `None`: a watch is open and alive, or the list is pushed.
-    expires_at: Option<Micros>,
+    /// By when what may have been missed counts. It moves on while discovery is down. `None`: a watch
+    /// is open and alive, or the list is pushed.
+    missed_at: Option<Micros>,
+    /// By when a list counts that was on its way. It has been written, so nothing moves this on.
+    withheld_at: Option<Micros>,
+    /// Whether the end is that of a watch that discovery ended.
+    was_ended: bool,
 }
 
 impl ListLease {
     /// A lease without an end.
     pub fn new(rules: &Rules) -> ListLease {
         let slack = rules.drain_grace.saturating_sub(HELD_UP_MOST);
-        ListLease { call_every: rules.ask_every, slack, expires_at: None }
+        ListLease { call_every: rules.ask_every, slack, missed_at: None, withheld_at: None, was_ended: false }
     }
 
     /// Takes in what has become of the watch.
     pub fn update(&mut self, now: Micros, freshness: Freshness) {
         match freshness {
-            Freshness::Verified => self.expires_at = None,
+            Freshness::Verified => self.set(None),
             Freshness::Unverified { since } => {
                 let notified = since.saturating_add(NOTIFIED_MOST).min(now.saturating_add(self.call_every));
-                self.shorten(notified.saturating_add(self.slack));
+                self.missed(notified);
             }
-            Freshness::Withheld { since } => self.shorten(since.saturating_add(self.slack)),
-            Freshness::DiscoveryMoved => {
-                self.shorten(now.saturating_add(NOTIFIED_MOVED).saturating_add(self.slack));
+            Freshness::Ended { at } => {
+                self.was_ended = true;
+                self.missed(at.saturating_add(NOTIFIED_ENDED));
+            }
+            Freshness::DiscoveryMoved => self.missed(now.saturating_add(NOTIFIED_MOVED)),
+            Freshness::Withheld { since } => {
+                self.withheld_at = sooner(self.withheld_at, since.saturating_add(self.slack));
             }
             Freshness::Unreachable { since } => {
                 let held = self.call_every.saturating_mul(FAILED_CALL_TIMES).min(NOTIFIED_MOST);
                 let renewed = since.saturating_add(held).saturating_add(self.slack);
-                self.expires_at = self.expires_at.map(|at| at.max(renewed));
+                self.was_ended = false;
+                self.missed_at = self.missed_at.map(|at| at.max(renewed));
             }
-            Freshness::Expires { at } => self.expires_at = at,
+            Freshness::Expires { at } => self.set(at),
         }
     }
 
-    fn shorten(&mut self, at: Micros) {
-        self.expires_at = Some(self.expires_at.map_or(at, |before| before.min(at)));
+    fn set(&mut self, at: Option<Micros>) {
+        (self.missed_at, self.withheld_at, self.was_ended) = (at, None, false);
+    }
+
+    /// What was missed counts as notified then at the latest.
+    fn missed(&mut self, notified: Micros) {
+        self.missed_at = sooner(self.missed_at, notified.saturating_add(self.slack));
     }
 
     /// When nothing new may be sent by the list any more; `None`: the list is verified.
     pub fn expires_at(&self) -> Option<Micros> {
-        self.expires_at
+        self.missed_at.into_iter().chain(self.withheld_at).min()
     }
 
     /// Whether that moment has come.
     pub fn has_expired(&self, now: Micros) -> bool {
-        self.expires_at.is_some_and(|at| now >= at)
+        self.expires_at().is_some_and(|at| now >= at)
     }
 
     /// Whether the list must be renewed, and still can be before it expires.
     pub fn is_running_out(&self, now: Micros) -> bool {
-        self.expires_at.is_some_and(|at| now < at)
+        self.expires_at().is_some_and(|at| now < at)
     }
 
     /// The longest time over which calls for the list are spread while it runs out, so that one of
-    /// them and one more after it are answered before the end.
+    /// them and one more after it are answered before the end; after a watch that was ended one.
     pub fn renewal_window(&self) -> Micros {
-        self.call_every.min(NOTIFIED_MOST) * 3 / 8
+        let longest = self.call_every.min(NOTIFIED_MOST) * 3 / 8;
+        if self.was_ended {
+            longest.min(NOTIFIED_ENDED * 3 / 4)
+        } else {
+            longest
+        }
     }
 }
 
+/// The sooner of a moment that may be set and another.
+fn sooner(set: Option<Micros>, at: Micros) -> Option<Micros> {
+    Some(set.map_or(at, |before| before.min(at)))
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -98,12 +126,14 @@
     }
 
     /// All that can become of a watch, in every order of five: the lease never ends later than the
-    /// first loss that no list and no failed call came after allows, and a list always lifts it.
+    /// first loss allows that no list and no outage came after, nor than a list that was withheld
+    /// allows, whatever came after; and a list always lifts it.
     #[test]
     fn in_every_order_of_events_the_lease_ends_in_time() {
-        let kinds = 6_usize;
+        let kinds = 7_usize;
         for course in 0..kinds.pow(5) {
-            let (mut lease, mut bound, mut rest) = (lease(10 * SECOND), None::<Micros>, course);
+            let (mut lease, mut missed, mut withheld) = (lease(10 * SECOND), None::<Micros>, None::<Micros>);
+            let mut rest = course;
             for step in 1..=5 {
                 let now = step * 2 * SECOND;
                 let event = match rest % kinds {
@@ -112,18 +142,21 @@
                     2 => Freshness::Unverified { since: now - SECOND },
                     3 => Freshness::DiscoveryMoved,
                     4 => Freshness::Withheld { since: now - SECOND },
+                    5 => Freshness::Ended { at: now },
                     _ => Freshness::Unreachable { since: now - SECOND },
                 };
                 rest /= kinds;
                 lease.update(now, event);
                 let least = |bound: Option<Micros>, at: Micros| Some(bound.map_or(at, |b| b.min(at)));
-                bound = match event {
-                    Freshness::Verified | Freshness::Expires { .. } => None,
-                    Freshness::Unverified { since } => least(bound, since + 7 * SECOND),
-                    Freshness::DiscoveryMoved => least(bound, now + 5 * SECOND),
-                    Freshness::Withheld { since } => least(bound, since + SECOND),
-                    Freshness::Unreachable { since } => bound.map(|at| at.max(since + 7 * SECOND)),
-                };
+                match event {
+                    Freshness::Verified | Freshness::Expires { .. } => (missed, withheld) = (None, None),
+                    Freshness::Unverified { since } => missed = least(missed, since + 7 * SECOND),
+                    Freshness::Ended { at } => missed = least(missed, at + 3 * SECOND),
+                    Freshness::DiscoveryMoved => missed = least(missed, now + 5 * SECOND),
+                    Freshness::Withheld { since } => withheld = least(withheld, since + SECOND),
+                    Freshness::Unreachable { since } => missed = missed.map(|at| at.max(since + 7 * SECOND)),
+                }
+                let bound = missed.map_or(withheld, |at| least(withheld, at));
                 let end = lease.expires_at();
                 assert_eq!(end.is_some(), bound.is_some(), "{course}: {event:?}");
                 if let (Some(end), Some(bound)) = (end, bound) {
--- a/policy/tests/freshness.rs
+++ b/policy/tests/freshness.rs
@@ -59,6 +59,36 @@
     }
 }
 
+/// Discovery has ended the watch in order: the next call comes while there is time for its answer, and nothing is sent past
+/// the grace of what the watch was to tell.
+#[test]
+fn after_an_orderly_end_each_asks_in_time_and_sends_nothing_past_the_grace() {
+    for balancers in [1, 30, 300, 5_000] {
+        for me in 0..balancers.min(100) {
+            let mut proxy = watching(balancers, me);
+            breaks(&mut proxy);
+            let ended = proxy.now;
+            proxy.event(Event::Freshness(Freshness::Ended { at: ended }));
+            assert!(asks_within(&mut proxy, 1_510 * MS).is_some(), "{balancers}: {me}");
+            proxy.now = ended + 2_749 * MS;
+            assert_eq!(sent(&proxy.call().1).len(), 1, "{balancers}: {me}");
+            proxy.now = ended + 2_750 * MS;
+            assert_eq!(sent(&proxy.call().1), [], "{balancers}: {me}");
+        }
+    }
+}
+
+/// A list was on its way when discovery went down: it was written, and counts however long the outage lasts.
+#[test]
+fn an_outage_does_not_put_off_a_list_that_was_on_its_way() {
+    let mut proxy = watching(300, 3);
+    breaks(&mut proxy);
+    let cut = proxy.now;
+    proxy.event(Event::Freshness(Freshness::Withheld { since: cut }));
+    proxy.event(Event::Freshness(Freshness::Unreachable { since: cut + 100 * MS }));
+    assert_eq!(proxy.balancer.list_expires_at(), Some(cut + 750 * MS));
+}
+
 #[test]
 fn a_list_from_before_the_start_is_asked_for_before_it_expires() {
     for me in 0..100 {
--- a/proxy/tests/fleet/mod.rs
+++ b/proxy/tests/fleet/mod.rs
@@ -14,6 +14,8 @@
 
 /// What a broken or silent watch hides counts as told after this.
 pub const TOLD: Duration = Duration::from_secs(6);
+/// The same where the watch was ended in order.
+pub const TOLD_AT_END: Duration = Duration::from_secs(2);
 /// What may still be sent after that is begun within this.
 pub const GRACE: Duration = Duration::from_secs(1);
 /// What a request needs from its sender to the ledger, on a busy machine.
--- a/proxy/tests/freshness.rs
+++ b/proxy/tests/freshness.rs
@@ -3,7 +3,7 @@
 
 mod fleet;
 
-use fleet::{Fleet, GRACE, TOLD};
+use fleet::{Fleet, GRACE, TOLD, TOLD_AT_END};
 use nettleworks_crew::Process;
 use nettleworks_standins::*;
 use std::time::Duration;
@@ -39,6 +39,35 @@
     });
 }
 
+/// Incident 5521: discovery ends its watches in order instead of telling of a drain, and answers no further call. What it
+/// was to tell then counts two seconds later, as where a long poll is over.
+#[test]
+fn a_drain_that_an_orderly_end_of_the_watch_hid_is_heeded_in_time() {
+    run(async {
+        let mut fleet = Fleet::start("ended", 4, Duration::from_secs(7), |_| ()).await;
+        fleet.relay.arrivals(Arrival::Hangs);
+        fleet.relay.end();
+        let ended = fleet.drain();
+        fleet.ended().await;
+        assert_eq!(fleet.sent_after(ended + TOLD_AT_END + GRACE), 0);
+        assert!(fleet.tally.borrow().refused > 0 && fleet.tally.borrow().served > 50);
+    });
+}
+
+/// The same where discovery answers the next calls: nobody is refused for it.
+#[test]
+fn an_orderly_end_of_the_watch_costs_no_request() {
+    run(async {
+        let mut fleet = Fleet::start("ended-once", 16, Duration::from_secs(6), |_| ()).await;
+        fleet.relay.end();
+        let ended = fleet.drain();
+        fleet.ended().await;
+        assert_eq!(fleet.sent_after(ended + TOLD_AT_END + GRACE), 0);
+        let tally = fleet.tally.borrow();
+        assert!(tally.refused * 100 <= tally.served, "{} refused, {} served", tally.refused, tally.served);
+    });
+}
+
 /// The same while discovery is crowded: it refuses each further call at once. A process that can't have a list in time
 /// sends nothing by the one it has, and answers its clients.
 #[test]
--- a/standins/src/relay.rs
+++ b/standins/src/relay.rs
@@ -42,6 +42,8 @@
     SilenceAfter(usize),
     /// They are reset when so many more bytes have come from the target.
     ResetAfter(usize),
+    /// They are closed in order.
+    End,
 }
 
 /// A relay before one address. Connections are passed on until something else is asked for.
@@ -98,6 +100,11 @@
         self.harm(Harm::ResetAfter(bytes));
     }
 
+    /// The connections that are open are closed in order, with nothing more said on them.
+    pub fn end(&self) {
+        self.harm(Harm::End);
+    }
+
     /// Does harm to the connections that are open now, and to no later one.
     fn harm(&self, harm: Harm) {
         self.harm.replace(watch::Sender::new(Harm::None)).send_replace(harm);
@@ -164,6 +171,7 @@
             // The sender goes when it has asked for something; what it asked for last stays to be seen.
             changed = harm.changed(), if left.is_none() => match (changed, *harm.borrow_and_update()) {
                 (_, Harm::ResetAfter(0)) => return reset(&near),
+                (_, Harm::End) => return,
                 (_, Harm::ResetAfter(bytes)) => left = Some(bytes),
                 (_, Harm::SilenceAfter(bytes)) => {
                     let mut more = bytes;
