The second call for the list leaves the first its place; no single call proves an outage

Cause: a second call after 2.25 s stood in discovery's queue beside the first, which needed up to 3 s there; where the queue was full both were refused, and the process had lost its place. One call that ran out was taken for an outage, also where a crowd lets a call wait and then refuses it. Change: the second call comes after 3.1 s (answers waited for until 6 s). One call that ran out renews the lease until a refusal at once shows that discovery is up; two in a row are an outage. Tests: a_refusal_of_the_second_of_two_calls_... lets the first call wait for 3.3 s in place of 2.4 s, so that there is a second one; its check is as before, and the 2.4 s are in a new test with four processes. The new test passes without the part on two calls in a row as well; that is held by the unit tests of outage.rs and freshness.rs.

--- a/engine/src/discovery/call.rs
+++ b/engine/src/discovery/call.rs
@@ -32,10 +32,10 @@
     hedge: Duration,
 }
 
-/// Discovery that works through its calls in turn: what waits longer than two seconds is rare, and a second call adds to
-/// what keeps the first waiting.
+/// Discovery that works through its calls in turn, and refuses what has waited for three seconds. A second call takes
+/// room from the first, and a crowd refuses both: it comes only when the first should have been answered or refused.
 pub(super) const ASKED: Patience =
-    Patience { answer: Duration::from_millis(4_500), hedge: Duration::from_millis(2_250) };
+    Patience { answer: Duration::from_millis(6_000), hedge: Duration::from_millis(3_100) };
 /// An agent that pushes, which answers at once. What it has counts as notified, with a second's grace.
 pub(super) const PUSHED: Patience =
     Patience { answer: Duration::from_millis(700), hedge: Duration::from_millis(350) };
--- a/engine/src/discovery/mod.rs
+++ b/engine/src/discovery/mod.rs
@@ -9,7 +9,7 @@
 use crate::list::List;
 use crate::stall::{LastLook, StallDetector};
 pub use call::{CallFailure, FailedCall};
-pub use outage::Outage;
+pub use outage::{Outage, Verdict};
 
 use call::{hedged, Answer, ASKED, PUSHED};
 use http_body_util::BodyExt;
--- a/engine/src/discovery/outage.rs
+++ b/engine/src/discovery/outage.rs
@@ -15,28 +15,54 @@
 /// For so long a sign that discovery is up speaks against calls that seem to have run out.
 const UP_FOR: Duration = Duration::from_secs(6);
 
+/// What failed calls prove.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// Nothing.
+    Unknown,
+    /// Discovery is down.
+    Down,
+    /// Discovery is up, and what one call before has shown was no outage.
+    NeverDown,
+}
+
 /// What the calls of one process have shown of discovery.
 #[derive(Debug, Default)]
 pub struct Outage {
     /// When a call last showed that discovery is up and refuses.
     seen_up: Option<Instant>,
+    /// How many watches in a row have shown that it is down.
+    seen_down: u32,
 }
 
 impl Outage {
-    /// Takes in the calls of a watch that all failed by `now`, in the order in which they were begun, and returns whether
-    /// they prove that discovery is down.
-    pub fn is_proven(&mut self, calls: &[FailedCall], now: Instant) -> bool {
+    /// Takes in the calls of a watch that all failed by `now`, in the order in which they were begun.
+    pub fn judge(&mut self, calls: &[FailedCall], now: Instant) -> Verdict {
         if calls.iter().any(shows_up) {
             self.seen_up = Some(now);
+            // A crowd may let one call run out. Two are an outage, which may be over now.
+            let once = std::mem::take(&mut self.seen_down) == 1;
+            return if once { Verdict::NeverDown } else { Verdict::Unknown };
         }
         let nobody_listens = |call: &FailedCall| matches!(call.failure, CallFailure::ConnectionRefused(_));
-        if !calls.is_empty() && calls.iter().all(nobody_listens) {
-            return true;
-        }
         let let_run_out = |call: &FailedCall| matches!(call.failure, CallFailure::Refused(_));
         let longest = calls.iter().map(|call| call.took).max();
         let seen_up = self.seen_up.is_some_and(|at| now < at + UP_FOR);
-        !seen_up && calls.iter().all(let_run_out) && longest.is_some_and(|took| took >= RAN_OUT)
+        let ran_out = !seen_up && longest.is_some_and(|took| took >= RAN_OUT);
+        if !calls.is_empty() && calls.iter().all(nobody_listens) {
+            self.seen_down = 2;
+            Verdict::Down
+        } else if ran_out && calls.iter().all(let_run_out) {
+            self.seen_down += 1;
+            Verdict::Down
+        } else {
+            Verdict::Unknown
+        }
+    }
+
+    /// A call was answered.
+    pub fn answered(&mut self) {
+        self.seen_down = 0;
     }
 }
 
@@ -59,7 +85,7 @@
     }
 
     fn proven(calls: &[FailedCall]) -> bool {
-        Outage::default().is_proven(calls, Instant::now())
+        Outage::default().judge(calls, Instant::now()) == Verdict::Down
     }
 
     #[test]
@@ -89,11 +115,28 @@
     #[test]
     fn a_discovery_that_was_up_a_moment_ago_is_crowded_and_not_down() {
         let (mut outage, start) = (Outage::default(), Instant::now());
-        assert!(!outage.is_proven(&[refused(5)], start));
-        assert!(!outage.is_proven(&[refused(2_900)], start + Duration::from_secs(4)));
-        assert!(outage.is_proven(&[refused(2_900)], start + UP_FOR));
+        let at = |seconds| start + Duration::from_secs(seconds);
+        assert_eq!(outage.judge(&[refused(5)], start), Verdict::Unknown);
+        assert_eq!(outage.judge(&[refused(2_900)], at(4)), Verdict::Unknown);
+        assert_eq!(outage.judge(&[refused(2_900)], start + UP_FOR), Verdict::Down);
         let nobody = [call(0, CallFailure::ConnectionRefused("refused".into()))];
-        assert!(!outage.is_proven(&[refused(5)], start + 2 * UP_FOR));
-        assert!(outage.is_proven(&nobody, start + 2 * UP_FOR), "nobody listens there any more");
+        assert_eq!(outage.judge(&nobody, at(20)), Verdict::Down);
+        assert_eq!(outage.judge(&[refused(5)], at(21)), Verdict::Unknown, "it is back");
+        assert_eq!(outage.judge(&nobody, at(22)), Verdict::Down, "nobody listens there any more");
+    }
+
+    #[test]
+    fn one_call_that_ran_out_before_a_refusal_was_no_outage() {
+        let (mut outage, start) = (Outage::default(), Instant::now());
+        let at = |seconds| start + Duration::from_secs(seconds);
+        assert_eq!(outage.judge(&[refused(2_900)], at(3)), Verdict::Down);
+        assert_eq!(outage.judge(&[refused(5)], at(4)), Verdict::NeverDown);
+        for second in [20, 23] {
+            assert_eq!(outage.judge(&[refused(2_900)], at(second)), Verdict::Down);
+        }
+        assert_eq!(outage.judge(&[refused(5)], at(24)), Verdict::Unknown, "two were one");
+        assert_eq!(outage.judge(&[refused(2_900)], at(40)), Verdict::Down);
+        outage.answered();
+        assert_eq!(outage.judge(&[refused(5)], at(41)), Verdict::Unknown, "a list came meanwhile");
     }
 }
--- a/engine/src/driver/watch.rs
+++ b/engine/src/driver/watch.rs
@@ -2,7 +2,7 @@
 
 use super::members::Source;
 use super::{Driver, Handle};
-use crate::discovery::{self, End, FailedCall, Outage, Sign};
+use crate::discovery::{self, End, FailedCall, Outage, Sign, Verdict};
 use crate::group::Lease;
 use crate::list::{Health, List};
 use crate::protocol::Protocol;
@@ -228,6 +228,7 @@
         }
         match sign {
             Sign::Answered => {
+                self.0.borrow_mut().watch.outage.answered();
                 let took = self.0.borrow().watch.opened.elapsed();
                 self.log(&format!("watch {number}: answered after {took:.3?}"));
             }
@@ -270,13 +271,17 @@
             End::Ended { reason, .. } => (format!("was ended: {reason}"), ListKind::Failed),
             End::Cut { reason, .. } => (format!("failed within a list: {reason}"), ListKind::Silent),
         };
-        let is_down = match &end {
-            End::Unanswered(calls) => driver.watch.outage.is_proven(calls, Instant::now()),
-            _ => false,
+        let verdict = match &end {
+            End::Unanswered(calls) => driver.watch.outage.judge(calls, Instant::now()),
+            _ => Verdict::Unknown,
+        };
+        let judged = match verdict {
+            Verdict::Unknown => "",
+            Verdict::Down => ", discovery is taken for down",
+            Verdict::NeverDown => ", discovery was never down",
         };
-        let verdict = if is_down { ", discovery is taken for down" } else { "" };
         let line =
-            format!("watch {number}: {what}{verdict}, opened {open:.3?} ago, last alive {silence:.3?} ago");
+            format!("watch {number}: {what}{judged}, opened {open:.3?} ago, last alive {silence:.3?} ago");
         driver.desk.log(&line);
         let retry = match end {
             End::Silent => Duration::ZERO,
@@ -290,11 +295,18 @@
         let more = match end {
             End::Cut { since, .. } => Some(Freshness::Withheld { since: clock.at(since) }),
             End::Ended { at, .. } => Some(Freshness::Ended { at: clock.at(at) }),
-            End::Unanswered(_) if is_down => {
-                driver.watch.unreached = Some(driver.watch.opened);
-                Some(Freshness::Unreachable { since: clock.at(driver.watch.opened) })
-            }
-            End::Silent | End::Failed(_) | End::Unanswered(_) => None,
+            End::Unanswered(_) => match verdict {
+                Verdict::Unknown => None,
+                Verdict::Down => {
+                    driver.watch.unreached = Some(driver.watch.opened);
+                    Some(Freshness::Unreachable { since: clock.at(driver.watch.opened) })
+                }
+                Verdict::NeverDown => {
+                    driver.watch.unreached = None;
+                    Some(Freshness::Reachable)
+                }
+            },
+            End::Silent | End::Failed(_) => None,
         };
         drop(driver);
         let freshness = std::iter::once(Freshness::Unverified { since }).chain(more);
--- a/policy/src/api.rs
+++ b/policy/src/api.rs
@@ -264,6 +264,8 @@
         /// When the call began.
         since: Micros,
     },
+    /// Discovery refuses calls, and what seemed to prove that it is down did not.
+    Reachable,
     /// From now on another discovery is watched, of which nothing is known.
     DiscoveryMoved,
     /// The balancer that watches for the whole process has found that the list expires then.
--- a/policy/src/freshness.rs
+++ b/policy/src/freshness.rs
@@ -31,9 +31,11 @@
     /// From the moment at which a change counts as notified to the last at which a request may be
     /// decided by the list before it.
     slack: Micros,
-    /// By when what may have been missed counts. It moves on while discovery is down. `None`: a watch
-    /// is open and alive, or the list is pushed.
+    /// By when what may have been missed counts. `None`: a watch is open and alive, or the list is
+    /// pushed.
     missed_at: Option<Micros>,
+    /// By when it counts instead, as discovery was down meanwhile. No sooner than `missed_at`.
+    renewed_at: Option<Micros>,
     /// By when a list counts that was on its way. It has been written, so nothing moves this on.
     withheld_at: Option<Micros>,
     /// Whether the end is that of a watch that discovery ended.
@@ -44,7 +46,14 @@
     /// A lease without an end.
     pub fn new(rules: &Rules) -> ListLease {
         let slack = rules.drain_grace.saturating_sub(HELD_UP_MOST);
-        ListLease { call_every: rules.ask_every, slack, missed_at: None, withheld_at: None, was_ended: false }
+        ListLease {
+            call_every: rules.ask_every,
+            slack,
+            missed_at: None,
+            renewed_at: None,
+            withheld_at: None,
+            was_ended: false,
+        }
     }
 
     /// Takes in what has become of the watch.
@@ -67,24 +76,29 @@
                 let held = self.call_every.saturating_mul(FAILED_CALL_TIMES).min(NOTIFIED_MOST);
                 let renewed = since.saturating_add(held).saturating_add(self.slack);
                 self.was_ended = false;
-                self.missed_at = self.missed_at.map(|at| at.max(renewed));
+                self.renewed_at = self.missed_at.map(|at| at.max(self.renewed_at.unwrap_or(at)).max(renewed));
             }
+            Freshness::Reachable => self.renewed_at = None,
             Freshness::Expires { at } => self.set(at),
         }
     }
 
     fn set(&mut self, at: Option<Micros>) {
-        (self.missed_at, self.withheld_at, self.was_ended) = (at, None, false);
+        self.missed_at = at;
+        (self.renewed_at, self.withheld_at, self.was_ended) = (None, None, false);
     }
 
     /// What was missed counts as notified then at the latest.
     fn missed(&mut self, notified: Micros) {
-        self.missed_at = sooner(self.missed_at, notified.saturating_add(self.slack));
+        let at = notified.saturating_add(self.slack);
+        self.missed_at = sooner(self.missed_at, at);
+        self.renewed_at = self.renewed_at.map(|renewed| renewed.min(at));
     }
 
     /// When nothing new may be sent by the list any more; `None`: the list is verified.
     pub fn expires_at(&self) -> Option<Micros> {
-        self.missed_at.into_iter().chain(self.withheld_at).min()
+        let missed_at = self.renewed_at.or(self.missed_at);
+        missed_at.into_iter().chain(self.withheld_at).min()
     }
 
     /// Whether that moment has come.
@@ -130,9 +144,10 @@
     /// allows, whatever came after; and a list always lifts it.
     #[test]
     fn in_every_order_of_events_the_lease_ends_in_time() {
-        let kinds = 7_usize;
+        let kinds = 8_usize;
         for course in 0..kinds.pow(5) {
-            let (mut lease, mut missed, mut withheld) = (lease(10 * SECOND), None::<Micros>, None::<Micros>);
+            let mut lease = lease(10 * SECOND);
+            let (mut missed, mut renewed, mut withheld) = (None::<Micros>, None::<Micros>, None::<Micros>);
             let mut rest = course;
             for step in 1..=5 {
                 let now = step * 2 * SECOND;
@@ -143,20 +158,32 @@
                     3 => Freshness::DiscoveryMoved,
                     4 => Freshness::Withheld { since: now - SECOND },
                     5 => Freshness::Ended { at: now },
+                    6 => Freshness::Reachable,
                     _ => Freshness::Unreachable { since: now - SECOND },
                 };
                 rest /= kinds;
                 lease.update(now, event);
                 let least = |bound: Option<Micros>, at: Micros| Some(bound.map_or(at, |b| b.min(at)));
+                let missed_now = match event {
+                    Freshness::Unverified { since } => Some(since + 7 * SECOND),
+                    Freshness::Ended { at } => Some(at + 3 * SECOND),
+                    Freshness::DiscoveryMoved => Some(now + 5 * SECOND),
+                    _ => None,
+                };
+                if let Some(at) = missed_now {
+                    (missed, renewed) = (least(missed, at), renewed.map(|renewed| renewed.min(at)));
+                }
                 match event {
-                    Freshness::Verified | Freshness::Expires { .. } => (missed, withheld) = (None, None),
-                    Freshness::Unverified { since } => missed = least(missed, since + 7 * SECOND),
-                    Freshness::Ended { at } => missed = least(missed, at + 3 * SECOND),
-                    Freshness::DiscoveryMoved => missed = least(missed, now + 5 * SECOND),
+                    Freshness::Verified => (missed, renewed, withheld) = (None, None, None),
                     Freshness::Withheld { since } => withheld = least(withheld, since + SECOND),
-                    Freshness::Unreachable { since } => missed = missed.map(|at| at.max(since + 7 * SECOND)),
+                    Freshness::Unreachable { since } => {
+                        renewed = missed.map(|at| at.max(renewed.unwrap_or(at)).max(since + 7 * SECOND));
+                    }
+                    Freshness::Reachable => renewed = None,
+                    _ => {}
                 }
-                let bound = missed.map_or(withheld, |at| least(withheld, at));
+                let missed_by = renewed.or(missed);
+                let bound = missed_by.map_or(withheld, |at| least(withheld, at));
                 let end = lease.expires_at();
                 assert_eq!(end.is_some(), bound.is_some(), "{course}: {event:?}");
                 if let (Some(end), Some(bound)) = (end, bound) {
--- a/proxy/tests/discovery_faults.rs
+++ b/proxy/tests/discovery_faults.rs
@@ -15,17 +15,32 @@
 #[test]
 fn a_refusal_of_the_second_of_two_calls_is_not_taken_for_an_outage() {
     run(async {
+        // The second call comes after 3.1 s.
         let mut fleet = Fleet::start("crowd", 1, Duration::from_secs(14), |_| ()).await;
-        fleet.relay.arrivals(Arrival::Crowded(Duration::from_millis(2_400)));
-        fleet.relay.reset_after(0);
-        let lost = fleet.drain();
-        fleet.ended().await;
-        let (late, tally) = (fleet.sent_after(lost + TOLD + GRACE), fleet.tally.borrow());
-        assert_eq!(late, 0, "sent to a drained server over {GRACE:?} after it counts as told");
-        assert!(tally.refused > 0 && tally.served > 50, "{} refused, {} served", tally.refused, tally.served);
+        refuses_while_others_wait(&mut fleet, Duration::from_millis(3_300)).await;
     });
 }
 
+/// The same with four processes: one of them waits and is refused, the others are refused at once, in turns.
+#[test]
+fn a_call_that_a_crowd_lets_run_out_is_not_taken_for_an_outage() {
+    run(async {
+        let mut fleet = Fleet::start("crowd-of-four", 4, Duration::from_secs(14), |_| ()).await;
+        refuses_while_others_wait(&mut fleet, Duration::from_millis(2_400)).await;
+    });
+}
+
+/// Discovery lets one call wait for a time, and refuses it and all others. Nothing is sent past the grace.
+async fn refuses_while_others_wait(fleet: &mut Fleet, waits: Duration) {
+    fleet.relay.arrivals(Arrival::Crowded(waits));
+    fleet.relay.reset_after(0);
+    let lost = fleet.drain();
+    fleet.ended().await;
+    let (late, tally) = (fleet.sent_after(lost + TOLD + GRACE), fleet.tally.borrow());
+    assert_eq!(late, 0, "sent to a drained server over {GRACE:?} after it counts as told");
+    assert!(tally.refused > 0 && tally.served > 50, "{} refused, {} served", tally.refused, tally.served);
+}
+
 /// Connects of this process alone fail, and discovery serves all others.
 #[test]
 fn errors_of_this_machine_are_not_taken_for_an_outage() {
