A read or write that moves a part is followed by another one

Callers saw: requests that never had an answer, connections to discovery and to servers that stood still with bytes in them, under faults that make system calls move a part of what they could. Cause: the runtime takes a read of less than was asked for as proof that the socket is empty, and a short write as proof that it is full, and waits for an event that never comes. Why it works: the stream waits for readiness, and gives it up only when the system says that the call would block; EINTR is tried again. One more call that says so comes after each message.

--- a/engine/src/net.rs
+++ b/engine/src/net.rs
@@ -7,7 +7,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::task::{Context, Poll, Waker};
+use std::task::{ready, Context, Poll, Waker};
 use std::time::{Duration, SystemTime};
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
@@ -88,6 +88,43 @@
     }
 }
 
+/// Reads what there is. The runtime's own reading takes a read of less than was asked for as proof that nothing is left,
+/// and waits for an event that may never come; a read may be short for other reasons. Here only the system's word
+/// (`EWOULDBLOCK`) counts.
+fn read_until_blocked(
+    stream: &TcpStream,
+    context: &mut Context<'_>,
+    buffer: &mut ReadBuf<'_>,
+) -> Poll<io::Result<()>> {
+    loop {
+        ready!(stream.poll_read_ready(context))?;
+        match stream.try_read_buf(buffer) {
+            Err(error) if is_passing(&error) => {}
+            read => return Poll::Ready(read.map(drop)),
+        }
+    }
+}
+
+/// Writes what there is room for. As with reading, a short write does not prove that there is no more room.
+fn write_until_blocked(
+    stream: &TcpStream,
+    context: &mut Context<'_>,
+    bytes: &[u8],
+) -> Poll<io::Result<usize>> {
+    loop {
+        ready!(stream.poll_write_ready(context))?;
+        match stream.try_write(bytes) {
+            Err(error) if is_passing(&error) => {}
+            written => return Poll::Ready(written),
+        }
+    }
+}
+
+/// Whether the call is to be made again: at once, or when the system says that it may go on.
+fn is_passing(error: &io::Error) -> bool {
+    matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted)
+}
+
 /// Does the same with whichever stream it is.
 macro_rules! either {
     ($stream:expr, $io:ident => $act:expr) => {
@@ -111,13 +148,21 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        either!(self, io => io.poll_read(context, buffer))
+        match self.get_mut() {
+            Stream::Tcp(stream) => read_until_blocked(stream, context, buffer),
+            #[cfg(feature = "virtual-net")]
+            Stream::Virtual(stream) => Pin::new(&mut **stream).poll_read(context, buffer),
+        }
     }
 }
 
 impl AsyncWrite for Stream {
     fn poll_write(self: Pin<&mut Self>, context: &mut Context<'_>, bytes: &[u8]) -> Poll<io::Result<usize>> {
-        either!(self, io => io.poll_write(context, bytes))
+        match self.get_mut() {
+            Stream::Tcp(stream) => write_until_blocked(stream, context, bytes),
+            #[cfg(feature = "virtual-net")]
+            Stream::Virtual(stream) => Pin::new(&mut **stream).poll_write(context, bytes),
+        }
     }
 
     fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
--- /dev/null
+++ b/proxy/tests/syscall_faults.rs
@@ -0,0 +1,26 @@
+//! System calls that move a part of what they could, or fail for a time, in real processes: no request goes without its
+//! answer, and the program starts.
+
+mod faults;
+mod fleet;
+
+use faults::Faults;
+use fleet::Fleet;
+use nettleworks_standins::*;
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// A read or write that moves a part leaves the rest to a further one; no new event tells of it.
+#[test]
+fn a_request_whose_reads_and_writes_are_short_is_answered() {
+    run(async {
+        let mut fleet = Fleet::prepare("short", 1).await;
+        let faults = Faults::new(fleet.folder(), 7);
+        fleet.in_environment(faults.environment());
+        fleet.serve(6, Duration::from_secs(6), |_| ()).await;
+        faults.set(&[("short_per_mille", 100)]);
+        sleep(Duration::from_secs(5)).await;
+        fleet.ended().await;
+        assert!(fleet.tally.borrow().served > 200, "{} served", fleet.tally.borrow().served);
+    });
+}
