A start waits for what the machine is short of, and SIGHUP reads its file again

Callers saw: the daemon ended with 1 and served nobody where the machine was short of files, descriptors or memory for sockets in its first second. Cause: the configuration, the listener and the runtime were each tried once. A SIGHUP in such a moment kept the old configuration for good. Evidence: a_process_starts_though_the_machine_is_short_of_something_at_first failed before (ENFILE on config.json: ended with 1). The files that say what to do are a module of their own. Not covered: socketpair for signals, threads, the members' socket.

--- a/engine/src/config.rs
+++ b/engine/src/config.rs
@@ -2,6 +2,7 @@
 
 use crate::extras::Extras;
 use crate::list::List;
+use crate::passing::is_passing;
 use crate::quota::Quota;
 use nettleworks_policy::Settings;
 use serde::{Deserialize, Deserializer};
@@ -128,11 +129,26 @@
     }
 }
 
+/// Why a configuration file was not read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LoadError {
+    /// Whether it may be read a moment later: the system is short of something.
+    pub passing: bool,
+    /// In words, with the file's path.
+    pub reason: String,
+}
+
 impl Config {
     /// Reads a configuration file.
-    pub fn load(path: &Path) -> Result<Config, String> {
-        let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
-        Config::parse(&text).map_err(|e| format!("{}: {e}", path.display()))
+    ///
+    /// # Errors
+    ///
+    /// What keeps the file from being read, and whether that may pass; what is wrong with its text.
+    pub fn load(path: &Path) -> Result<Config, LoadError> {
+        let at = |reason: String| format!("{}: {reason}", path.display());
+        let text = std::fs::read_to_string(path)
+            .map_err(|e| LoadError { passing: is_passing(&e), reason: at(e.to_string()) })?;
+        Config::parse(&text).map_err(|e| LoadError { passing: false, reason: at(e.to_string()) })
     }
 
     /// Reads a configuration's text.
--- a/engine/src/lib.rs
+++ b/engine/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod meter;
 pub mod mutant;
 pub mod net;
+pub mod passing;
 pub mod protocol;
 pub mod quota;
 pub mod socket;
--- /dev/null
+++ b/proxy/src/files.rs
@@ -0,0 +1,64 @@
+//! The files that say what to do.
+
+use crate::member::Member;
+use nettleworks_engine::config::{Config, LoadError};
+use nettleworks_engine::passing::{is_passing, AGAIN};
+use nettleworks_keys_station::WithKeys;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::{sleep, Instant};
+
+/// Where they are.
+pub struct Files {
+    /// The configuration.
+    pub config: PathBuf,
+    /// The settings of the store of keys.
+    pub keys: Option<PathBuf>,
+    /// The settings of the members.
+    pub members: Option<PathBuf>,
+}
+
+impl Files {
+    /// Reads the configuration, with the settings of the store of keys.
+    ///
+    /// # Errors
+    ///
+    /// The first file that is not read, and why.
+    pub fn load(&self) -> Result<Config, LoadError> {
+        let config = Config::load(&self.config)?;
+        let Some(path) = &self.keys else { return Ok(config) };
+        let bad =
+            |passing, reason: String| LoadError { passing, reason: format!("{}: {reason}", path.display()) };
+        let text =
+            std::fs::read_to_string(path).map_err(|error| bad(is_passing(&error), error.to_string()))?;
+        config.with_keys(&text).map_err(|error| bad(false, error))
+    }
+
+    /// The same, and again for so long while the system is short of something.
+    ///
+    /// # Errors
+    ///
+    /// The last one, in words.
+    pub async fn load_within(&self, most: Duration) -> Result<Config, String> {
+        let until = Instant::now() + most;
+        loop {
+            match self.load() {
+                Err(error) if error.passing && Instant::now() < until => sleep(AGAIN).await,
+                done => return done.map_err(|error| error.reason),
+            }
+        }
+    }
+
+    /// Starts as a member, where there are settings for it.
+    ///
+    /// # Errors
+    ///
+    /// What is wrong with the settings, or with the socket.
+    pub async fn member(&self) -> Result<Option<Rc<Member>>, String> {
+        match &self.members {
+            Some(file) => Member::start(file).await.map(|member| Some(Rc::new(member))),
+            None => Ok(None),
+        }
+    }
+}
--- a/proxy/src/main.rs
+++ b/proxy/src/main.rs
@@ -2,30 +2,32 @@
 #![forbid(unsafe_code)]
 
 mod arguments;
+mod files;
 mod keys_command;
 mod member;
 mod shown;
 
 use arguments::{Arguments, Command};
 use clap::Parser;
+use files::Files;
 use member::Member;
-use nettleworks::config::Config;
 use nettleworks::cores::{self, End, Spare, Told};
 use nettleworks::server;
 use nettleworks::stop::Schedule;
-use nettleworks_keys_station::WithKeys;
+use nettleworks_engine::passing::{self, keep_trying};
 use std::io::Write;
-use std::path::PathBuf;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::runtime;
+use tokio::runtime::{self, Runtime};
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::{mpsc, watch};
 use tokio::task::LocalSet;
 use tokio::time::Instant;
 
+/// For so long a configuration is tried to be read again after SIGHUP while several engines serve.
+const RELOAD_MOST: Duration = Duration::from_millis(500);
 /// What the process still has after the moment by which its engines are to have ended.
 const ENGINES_LAST: Duration = Duration::from_millis(20);
 
@@ -85,30 +87,6 @@
     }
 }
 
-/// The files that say what to do.
-struct Files {
-    config: PathBuf,
-    keys: Option<PathBuf>,
-    members: Option<PathBuf>,
-}
-
-impl Files {
-    fn load(&self) -> Result<Config, String> {
-        let config = Config::load(&self.config)?;
-        let Some(path) = &self.keys else { return Ok(config) };
-        let bad = |error: String| format!("{}: {error}", path.display());
-        let text = std::fs::read_to_string(path).map_err(|error| bad(error.to_string()))?;
-        config.with_keys(&text).map_err(bad)
-    }
-
-    async fn member(&self) -> Result<Option<Rc<Member>>, String> {
-        match &self.members {
-            Some(file) => Member::start(file).await.map(|member| Some(Rc::new(member))),
-            None => Ok(None),
-        }
-    }
-}
-
 fn say(text: &str) -> Result<(), String> {
     // Whoever asked may have stopped reading.
     let _ = writeln!(std::io::stdout(), "{text}");
@@ -118,7 +96,7 @@
 /// Says what is wrong with a file. A key outside the settings that is not known is a slip here; the daemon, which
 /// must start under a later platform too, only logs it.
 fn check(files: &Files) -> Result<(), String> {
-    let (path, config) = (&files.config, files.load()?);
+    let (path, config) = (&files.config, files.load().map_err(|error| error.reason)?);
     if let Some(members) = &files.members {
         let settings = nettleworks_members_wire::Settings::load(members)?;
         settings.codec()?;
@@ -133,14 +111,20 @@
     Err(format!("{}: unknown keys: {}", path.display(), config.unknown.join(", ")))
 }
 
+/// A runtime for this thread. It needs descriptors, of which the machine may be short for a moment.
+fn new_runtime() -> Result<Runtime, String> {
+    keep_trying(|| runtime::Builder::new_current_thread().enable_all().build()).map_err(|e| e.to_string())
+}
+
 fn start(files: &Files) -> Result<(), String> {
-    let runtime = runtime::Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string())?;
+    let runtime = new_runtime()?;
     LocalSet::new().block_on(&runtime, async {
         // First of all: a signal without a handler ends the program.
         let mut terminate = signal(SignalKind::terminate()).map_err(|e| e.to_string())?;
         let mut hangup = signal(SignalKind::hangup()).map_err(|e| e.to_string())?;
-        let config = files.load()?;
-        let listener = server::listen(config.listen).map_err(|e| format!("{}: {e}", config.listen))?;
+        let config = files.load_within(passing::MOST).await?;
+        let bad = |e: std::io::Error| format!("{}: {e}", config.listen);
+        let listener = keep_trying(|| server::listen(config.listen)).map_err(bad)?;
         let log = nettleworks_engine::log_to_stderr();
         for place in &config.unknown {
             log(&format!("configuration: {place}: unknown key, not used"));
@@ -160,7 +144,7 @@
             if let Some(member) = &member {
                 member.reload().await;
             }
-            Some(files.load())
+            Some(files.load_within(passing::MOST).await)
         };
         nettleworks::run(config, log, listener, reload, stop).await;
         // What is left are tasks without a client: the watch, idle connections.
@@ -171,14 +155,14 @@
 
 /// Serves with several engines, a thread each. This thread tells them all of signals, and ends when all have ended.
 fn start_cores(files: &Files, cores: usize) -> Result<(), String> {
-    let runtime = runtime::Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string())?;
+    let runtime = new_runtime()?;
     LocalSet::new().block_on(&runtime, async {
         let mut terminate = signal(SignalKind::terminate()).map_err(|e| e.to_string())?;
         let mut hangup = signal(SignalKind::hangup()).map_err(|e| e.to_string())?;
-        let config = files.load()?;
+        let config = files.load_within(passing::MOST).await?;
         let bad = |e: std::io::Error| format!("{}: {e}", config.listen);
-        let listeners = server::bind_all(config.listen, cores).map_err(bad)?;
-        let spare = Spare::of(&listeners).map_err(bad)?;
+        let listeners = keep_trying(|| server::bind_all(config.listen, cores)).map_err(bad)?;
+        let spare = keep_trying(|| Spare::of(&listeners)).map_err(bad)?;
         let log = nettleworks_engine::log_to_stderr();
         for place in &config.unknown {
             log(&format!("configuration: {place}: unknown key, not used"));
@@ -234,7 +218,7 @@
                     break Ok(());
                 }
                 Some(()) = hangup.recv() => {
-                    match files.load() {
+                    match files.load_within(RELOAD_MOST).await {
                         Ok(config) => drop(reloads.send_replace(Some(Arc::new(config)))),
                         Err(reason) => log(&format!("configuration kept: {}", reason.replace('\n', " "))),
                     }
--- a/proxy/tests/faults/faults.c
+++ b/proxy/tests/faults/faults.c
@@ -4,6 +4,7 @@
  *   connect_port N       connects to this port fail ...
  *   connect_percent N    ... with this chance, with one of the errors below
  *   socket_error N       socket() fails with this errno
+ *   open_error N         so does opening a file for reading whose name ends with "config.json"
  *   short_per_mille N    recv() and send() move only a part of what they could, with this chance
  * FAULTS_SEED seeds the draws.
  */
@@ -11,8 +12,10 @@
 #include <arpa/inet.h>
 #include <dlfcn.h>
 #include <errno.h>
+#include <fcntl.h>
 #include <netinet/in.h>
 #include <pthread.h>
+#include <stdarg.h>
 #include <stdint.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -25,7 +28,7 @@
 
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 static struct {
-    unsigned connect_port, connect_percent, socket_error, short_per_mille;
+    unsigned connect_port, connect_percent, socket_error, open_error, short_per_mille;
 } faults;
 static uint64_t read_at, state;
 
@@ -45,6 +48,7 @@
         if (!strcmp(name, "connect_port")) faults.connect_port = value;
         if (!strcmp(name, "connect_percent")) faults.connect_percent = value;
         if (!strcmp(name, "socket_error")) faults.socket_error = value;
+        if (!strcmp(name, "open_error")) faults.open_error = value;
         if (!strcmp(name, "short_per_mille")) faults.short_per_mille = value;
     }
     fclose(file);
@@ -76,6 +80,29 @@
     return next(domain, type, protocol);
 }
 
+int open64(const char *path, int flags, ...) {
+    static int (*next)(const char *, int, mode_t);
+    if (!next) next = (int (*)(const char *, int, mode_t))dlsym(RTLD_NEXT, "open64");
+    va_list arguments;
+    va_start(arguments, flags);
+    mode_t mode = flags & O_CREAT ? va_arg(arguments, mode_t) : 0;
+    va_end(arguments);
+    static const char NAME[] = "config.json";
+    size_t length = strlen(path);
+    int error = 0;
+    if (length >= strlen(NAME) && !strcmp(path + length - strlen(NAME), NAME)) {
+        pthread_mutex_lock(&lock);
+        reread();
+        error = (int)faults.open_error;
+        pthread_mutex_unlock(&lock);
+    }
+    if (error != 0) {
+        errno = error;
+        return -1;
+    }
+    return next(path, flags, mode);
+}
+
 int connect(int fd, const struct sockaddr *address, socklen_t length) {
     static int (*next)(int, const struct sockaddr *, socklen_t);
     if (!next) next = (int (*)(int, const struct sockaddr *, socklen_t))dlsym(RTLD_NEXT, "connect");
--- a/proxy/tests/syscall_faults.rs
+++ b/proxy/tests/syscall_faults.rs
@@ -24,3 +24,25 @@
         assert!(fleet.tally.borrow().served > 200, "{} served", fleet.tally.borrow().served);
     });
 }
+
+/// The machine is short of descriptors and memory for sockets in the first second of a process.
+#[test]
+fn a_process_starts_though_the_machine_is_short_of_something_at_first() {
+    run(async {
+        // ENFILE, EMFILE, ENOBUFS.
+        for error in [23, 24, 105] {
+            let mut fleet = Fleet::prepare(&format!("start-{error}"), 1).await;
+            let faults = Faults::new(fleet.folder(), 1);
+            fleet.in_environment(faults.environment());
+            faults.set(&[("socket_error", error), ("open_error", error)]);
+            let over = std::thread::spawn(move || {
+                std::thread::sleep(Duration::from_secs(1));
+                faults.set(&[]);
+            });
+            fleet.serve(1, Duration::from_secs(1), |_| ()).await;
+            over.join().expect("it ended well");
+            fleet.ended().await;
+            assert!(fleet.tally.borrow().served > 0, "{error}");
+        }
+    });
+}
