A shortage of this machine is waited for, and says nothing of a server

Callers saw: after a second in which the machine had no descriptor to give, all servers set aside and every request refused for seconds more. Cause: a connect that failed by an error of this machine (ENFILE, EMFILE, ENOBUFS, ENOMEM, EAGAIN, EADDRNOTAVAIL) was an outcome of its server: rests, ejection, a zone cut off. Why it works: opening a connection has typed errors (DialError), for discovery and for servers alike; an error of this machine is tried again after 10 ms within the time for a connection, and ends as 'not sent', from which nothing is learned. Not covered: a call whose own time ends sooner than the 250 ms for a connection still counts against the server.

--- a/engine/src/discovery/call.rs
+++ b/engine/src/discovery/call.rs
@@ -1,7 +1,7 @@
 //! Calls to discovery, up to the head of their answers.
 
 use super::incoming::{Incoming, Observed};
-use crate::dial::{dial, BoxError};
+use crate::dial::{dial, BoxError, DialError};
 use crate::net::Stream;
 use crate::task::{self, Task};
 use http_body_util::Empty;
@@ -10,19 +10,15 @@
 use hyper_util::rt::TokioIo;
 use std::fmt;
 use std::future::Future;
-use std::io;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::{sleep, timeout, timeout_at, Instant};
+use tokio::time::{timeout, timeout_at, Instant};
 
 /// Time for a connection to discovery. Nobody queues there.
 const CONNECT: Duration = Duration::from_secs(1);
 
-/// After an error of this machine's own the next try for a connection comes so much later.
-const CONNECT_AGAIN: Duration = Duration::from_millis(10);
-
 /// How long an answer is waited for.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Patience {
@@ -123,23 +119,13 @@
     }
 }
 
-/// Opens a connection. An error of this machine's own costs discovery nothing, and is soon over as a rule: the next try
-/// comes after a moment, until the time for a connection is over.
+/// Opens a connection. Whatever fails at once but a refusal costs discovery nothing, and is soon over as a rule.
 async fn connect(discovery: SocketAddr) -> Result<Stream, CallFailure> {
-    let until = Instant::now() + CONNECT;
-    loop {
-        match timeout_at(until, dial(discovery)).await {
-            Ok(Ok(stream)) => return Ok(stream),
-            Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
-                return Err(CallFailure::ConnectionRefused(error.into()));
-            }
-            Ok(Err(error)) if Instant::now() + CONNECT_AGAIN >= until => {
-                return Err(CallFailure::NoConnection(error.into()));
-            }
-            Ok(Err(_)) => sleep(CONNECT_AGAIN).await,
-            Err(elapsed) => return Err(CallFailure::NoConnection(elapsed.into())),
-        }
-    }
+    let dialed = dial(discovery, CONNECT, |error| !matches!(error, DialError::Refused(_))).await;
+    dialed.map_err(|error| match error {
+        DialError::Refused(_) => CallFailure::ConnectionRefused(error.into()),
+        _ => CallFailure::NoConnection(error.into()),
+    })
 }
 
 /// Calls discovery, and a second time beside the first where that is not answered soon. The first answer counts.
--- a/engine/src/http1/exchange.rs
+++ b/engine/src/http1/exchange.rs
@@ -1,7 +1,7 @@
 //! Connections to hosts, and one exchange on one of them.
 
 use super::Slot;
-use crate::dial::{dial, BoxError};
+use crate::dial::{dial, DialError};
 use crate::meter::Meter;
 use crate::protocol::End;
 use crate::socket::Socket;
@@ -76,6 +76,15 @@
     }
 }
 
+/// Why no connection to a host came up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OpenError {
+    /// This machine was short of something, which says nothing of the host.
+    OfThisMachine,
+    /// The host, or the way to it.
+    OfTheHost,
+}
+
 /// A connection to a host. It is closed when this is dropped, also with a request out on it.
 #[derive(Debug)]
 pub struct Connection {
@@ -96,10 +105,18 @@
 
 impl Connection {
     /// Opens a connection; `slot` is held for as long as it is open.
-    pub async fn open(address: SocketAddr, limit: Duration, slot: Slot) -> Result<Connection, BoxError> {
-        let socket = Socket::new(timeout(limit, dial(address)).await??);
+    ///
+    /// # Errors
+    ///
+    /// Why it did not come up. What this machine is short of is waited for.
+    pub async fn open(address: SocketAddr, limit: Duration, slot: Slot) -> Result<Connection, OpenError> {
+        let own = |error: &DialError| matches!(error, DialError::OfThisMachine(_));
+        let socket = Socket::new(dial(address, limit, own).await.map_err(|error| match error {
+            DialError::OfThisMachine(_) => OpenError::OfThisMachine,
+            _ => OpenError::OfTheHost,
+        })?);
         let builder = http1::Builder::new().max_buf_size(HEAD_MOST).handshake(socket.clone());
-        let (sender, connection) = builder.await?;
+        let (sender, connection) = builder.await.map_err(|_| OpenError::OfTheHost)?;
         Ok(Connection { sender, socket, reads: 0, _task: spawn(connection), _slot: slot })
     }
 
--- a/engine/src/http1/mod.rs
+++ b/engine/src/http1/mod.rs
@@ -9,7 +9,7 @@
 use crate::meter::Meter;
 use crate::protocol::{Connections, End, Protocol, Target};
 use crate::quota::{Counted, Side};
-use exchange::{exchange, Connection, Outgoing};
+use exchange::{exchange, Connection, OpenError, Outgoing};
 use hyper::body::Bytes;
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use hyper::{Method, Request, Response, Uri};
@@ -172,7 +172,8 @@
         self.count(|counts| *if opened.is_ok() { &mut counts.opened } else { &mut counts.open_failed } += 1);
         let end = match opened {
             Ok(connection) => exchange(connection, forward.request(until, &meter), &meter).await,
-            Err(_) => None,
+            Err(OpenError::OfThisMachine) => return End::without_answer(Outcome::NotSent),
+            Err(OpenError::OfTheHost) => None,
         };
         let Some((end, connection)) = end else {
             // That it came too late says nothing of the host.
--- a/proxy/tests/syscall_faults.rs
+++ b/proxy/tests/syscall_faults.rs
@@ -46,3 +46,33 @@
         }
     });
 }
+
+/// No descriptor can be had for a second, and each request needs a connection of its own. That says nothing of the servers:
+/// when it is over none of them is rested or passed over.
+#[test]
+fn a_shortage_of_this_machine_sets_no_server_aside() {
+    run(async {
+        let mut fleet = Fleet::prepare("own-errors", 1).await;
+        let faults = Faults::new(fleet.folder(), 3);
+        fleet.in_environment(faults.environment());
+        let close_at_once = |config: &mut serde_json::Value| {
+            config["settings"]["limits"]["conn_idle_us"] = 1_000.into();
+        };
+        fleet.serve(4, Duration::from_secs(4), close_at_once).await;
+        sleep(Duration::from_millis(500)).await;
+        faults.set(&[("socket_error", 23)]);
+        sleep(Duration::from_millis(1_500)).await;
+        faults.set(&[]);
+        sleep(Duration::from_millis(100)).await;
+        let (refused, served) = (fleet.tally.borrow().refused, fleet.tally.borrow().served);
+        fleet.ended().await;
+        let tally = fleet.tally.borrow();
+        assert_eq!(
+            tally.refused - refused,
+            0,
+            "refused after the shortage, {} served",
+            tally.served - served
+        );
+        assert!(tally.served - served > 20, "{} served after the shortage", tally.served - served);
+    });
+}
