An answer of discovery that has begun counts as written, however little of it came

Cause: only a list whose first bracket had come was known to be on its way. A part of a head, a head alone or the size of a chunk left the list good until 6 s after the watch was lost; the same where the answer fell silent there or its call broke. Why it works: the bytes that come on a connection to discovery are counted below the protocol; what is not part of a whole value 0.1 s after its first byte, but for the two bytes that end a chunk, ends the lease a grace after that byte. A first piece of one or two bytes of a chunk's size is not seen.

--- a/engine/src/discovery/call.rs
+++ b/engine/src/discovery/call.rs
@@ -8,6 +8,7 @@
 use hyper::body::{self, Bytes};
 use hyper::{header, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
+use std::cell::RefCell;
 use std::fmt;
 use std::future::Future;
 use std::net::SocketAddr;
@@ -64,6 +65,8 @@
 pub struct FailedCall {
     /// How long it was out.
     pub took: Duration,
+    /// When an answer began to come that is none to follow, nor a refusal.
+    pub cut_since: Option<Instant>,
     /// How many bytes of an answer came.
     pub bytes: u64,
     /// How.
@@ -83,6 +86,21 @@
     }
 }
 
+/// What has come for the calls of a watch that are out.
+#[derive(Debug, Default)]
+pub(super) struct Out(RefCell<Vec<Rc<Incoming>>>);
+
+impl Out {
+    /// Since when an answer is on its way whose head is not whole.
+    pub fn answering_since(&self) -> Option<Instant> {
+        self.0.borrow().iter().filter_map(|incoming| incoming.first_byte()).min()
+    }
+
+    fn has_ended(&self, call: &Call) {
+        self.0.borrow_mut().retain(|incoming| !Rc::ptr_eq(incoming, &call.incoming));
+    }
+}
+
 /// One call, from its begin on.
 struct Call {
     began: Instant,
@@ -90,12 +108,16 @@
 }
 
 impl Call {
-    fn begin() -> Call {
-        Call { began: Instant::now(), incoming: Rc::default() }
+    fn begin(out: &Out) -> Call {
+        let call = Call { began: Instant::now(), incoming: Rc::default() };
+        out.0.borrow_mut().push(call.incoming.clone());
+        call
     }
 
     fn failed(&self, failure: CallFailure) -> FailedCall {
-        FailedCall { took: self.began.elapsed(), bytes: self.incoming.bytes(), failure }
+        let refused = matches!(failure, CallFailure::Refused(_));
+        let cut_since = self.incoming.first_byte().filter(|_| !refused);
+        FailedCall { took: self.began.elapsed(), cut_since, bytes: self.incoming.bytes(), failure }
     }
 
     /// Asks for the list from version `since` on, and waits for the head of the answer.
@@ -137,14 +159,15 @@
     discovery: SocketAddr,
     since: Option<u64>,
     patience: Patience,
+    out: &Out,
 ) -> Result<Answer, Vec<FailedCall>> {
     let began = Instant::now();
-    let first_call = Call::begin();
+    let first_call = Call::begin(out);
     let mut first = pin!(first_call.ask(discovery, since));
     if let Ok(done) = timeout(patience.hedge, &mut first).await {
         return done.map_err(|failure| vec![first_call.failed(failure)]);
     }
-    let second_call = Call::begin();
+    let second_call = Call::begin(out);
     let mut second = pin!(second_call.ask(discovery, since));
     let until = began + patience.answer;
     let both = async {
@@ -155,6 +178,7 @@
                 Ok(answer) => Ok(answer),
                 Err(failure) => {
                     let failed = first_call.failed(failure);
+                    out.has_ended(&first_call);
                     let other = in_time(until, &mut second).await;
                     other.map_err(|failure| vec![failed, second_call.failed(failure)])
                 }
@@ -163,6 +187,7 @@
                 Ok(answer) => Ok(answer),
                 Err(failure) => {
                     let failed = second_call.failed(failure);
+                    out.has_ended(&second_call);
                     let other = in_time(until, &mut first).await;
                     other.map_err(|failure| vec![first_call.failed(failure), failed])
                 }
--- a/engine/src/discovery/mod.rs
+++ b/engine/src/discovery/mod.rs
@@ -11,7 +11,7 @@
 pub use call::{CallFailure, FailedCall};
 pub use outage::{Outage, Verdict};
 
-use call::{hedged, Answer, ASKED, PUSHED};
+use call::{hedged, Answer, Out, ASKED, PUSHED};
 use http_body_util::BodyExt;
 use std::error::Error;
 use std::io;
@@ -81,13 +81,18 @@
     mut seen: impl FnMut(Sign),
 ) -> End {
     let mut stall = StallDetector::new(Instant::now(), last_look);
-    let mut answer = pin!(hedged(discovery, since, if pushed { PUSHED } else { ASKED }));
+    let (out, mut warned) = (Out::default(), false);
+    let mut answer = pin!(hedged(discovery, since, if pushed { PUSHED } else { ASKED }, &out));
     let answer = loop {
-        match timeout_at(stall.look_at(), &mut answer).await {
-            Ok(answer) => break answer,
-            Err(_) => {
-                stall.idle(Instant::now());
-            }
+        if let Ok(answer) = timeout_at(stall.look_at(), &mut answer).await {
+            break answer;
+        }
+        let now = Instant::now();
+        let in_time = stall.idle(now);
+        let partial = out.answering_since().filter(|since| in_time && !warned && now >= *since + PARTIAL);
+        if let Some(since) = partial {
+            warned = true;
+            seen(Sign::Partial(since));
         }
     };
     let answer = match answer {
@@ -118,11 +123,13 @@
     let Answer { mut body, incoming, _connection } = answer;
     let (mut values, answered) = (Values::default(), Instant::now());
     let mut alive = answered;
-    // Since when a list is on its way; the first one is from the head on.
-    let mut coming = Some(stall.read(answered).unwrap_or(answered));
+    // Since when the first list is on its way: from the first byte of the head on.
+    let head_at = incoming.first_byte().unwrap_or(answered);
+    let mut first = Some(stall.read(answered).map_or(head_at, |late| late.min(head_at)));
     let mut warned = false;
     loop {
-        let partial = coming.filter(|_| values.depth > 0 && !warned).map(|since| since + PARTIAL);
+        let coming = first.or_else(|| incoming.unparsed_since());
+        let partial = coming.filter(|_| !warned).map(|since| since + PARTIAL);
         let until = partial.map_or(alive + SILENCE, |at| at.min(alive + SILENCE));
         let Ok(frame) = timeout_at(stall.look_at_or(until), body.frame()).await else {
             let now = Instant::now();
@@ -141,7 +148,8 @@
         };
         let now = Instant::now();
         let late = stall.read(now);
-        let ended = |reason: String, in_order: bool| {
+        let coming = first.or_else(|| incoming.unparsed_since());
+        let ended = |reason: String, in_order: bool, coming: Option<Instant>| {
             let reason = format!("{reason} after {} bytes", incoming.bytes()).into();
             match coming {
                 Some(since) => End::Cut { since, reason },
@@ -150,8 +158,9 @@
             }
         };
         let data = match frame {
-            None => return ended(values.end(), true),
-            Some(Err(error)) => return ended(describe(&error), is_end_of_file(&error)),
+            // The last bytes were those that say so.
+            None => return ended(values.end(), true, first.or(coming.filter(|_| values.depth > 0))),
+            Some(Err(error)) => return ended(describe(&error), is_end_of_file(&error), coming),
             Some(Ok(frame)) => frame.into_data(),
         };
         let Ok(data) = data else { continue };
@@ -161,16 +170,17 @@
             Ok(true) => {
                 alive = now;
                 warned = false;
+                incoming.parsed();
                 // An empty line may come ahead of the first list; a heartbeat comes later.
                 if values.count > 0 || now - answered >= BEAT_LEAST {
-                    coming = None;
+                    first = None;
                 }
                 seen(if late.is_none() { Sign::Alive } else { Sign::AliveLately });
             }
             Ok(false) => {}
         }
         if values.depth > 0 {
-            coming.get_or_insert(late.unwrap_or(now));
+            incoming.unparsed_from(late.unwrap_or(now));
         }
     }
 }
--- a/engine/src/discovery/outage.rs
+++ b/engine/src/discovery/outage.rs
@@ -77,7 +77,7 @@
     use hyper::StatusCode;
 
     fn call(took: u64, failure: CallFailure) -> FailedCall {
-        FailedCall { took: Duration::from_millis(took), bytes: 0, failure }
+        FailedCall { took: Duration::from_millis(took), cut_since: None, bytes: 0, failure }
     }
 
     fn refused(took: u64) -> FailedCall {
--- a/engine/src/driver/watch.rs
+++ b/engine/src/driver/watch.rs
@@ -266,6 +266,9 @@
         let (open, silence) = (driver.watch.opened.elapsed(), driver.watch.silence());
         let (what, kind) = match &end {
             End::Silent => ("fell silent".to_owned(), ListKind::Silent),
+            End::Unanswered(calls) if cut_since(calls).is_some() => {
+                (format!("not answered whole: {}", describe(calls)), ListKind::Silent)
+            }
             End::Unanswered(calls) => (format!("not answered: {}", describe(calls)), ListKind::Failed),
             End::Failed(reason) => (format!("failed: {reason}"), ListKind::Failed),
             End::Ended { reason, .. } => (format!("was ended: {reason}"), ListKind::Failed),
@@ -295,6 +298,9 @@
         let more = match end {
             End::Cut { since, .. } => Some(Freshness::Withheld { since: clock.at(since) }),
             End::Ended { at, .. } => Some(Freshness::Ended { at: clock.at(at) }),
+            End::Unanswered(calls) if cut_since(&calls).is_some() => {
+                cut_since(&calls).map(|since| Freshness::Withheld { since: clock.at(since) })
+            }
             End::Unanswered(_) => match verdict {
                 Verdict::Unknown => None,
                 Verdict::Down => {
@@ -319,3 +325,8 @@
 fn describe(calls: &[FailedCall]) -> String {
     calls.iter().map(FailedCall::to_string).collect::<Vec<_>>().join("; ")
 }
+
+/// When an answer to one of these began to come that was cut off.
+fn cut_since(calls: &[FailedCall]) -> Option<Instant> {
+    calls.iter().filter_map(|call| call.cut_since).min()
+}
--- a/proxy/tests/freshness.rs
+++ b/proxy/tests/freshness.rs
@@ -307,3 +307,34 @@
         assert!(fleet.tally.borrow().served > 0);
     });
 }
+
+/// An answer begins and does not go on, its connection stays open: a part of the head, the head alone, or the size of the
+/// first list's chunk. What it was to bring counts as written.
+#[test]
+fn an_answer_that_has_begun_is_heeded_as_if_it_had_come() {
+    run(async {
+        let parts = [10, WATCH.len(), WATCH.len() + 3];
+        let fleets: Vec<_> = parts.into_iter().map(|bytes| spawn_local(begun(bytes))).collect();
+        for (fleet, bytes) in fleets.into_iter().zip(parts) {
+            let late = fleet.await.expect("it ended well");
+            assert_eq!(
+                late, 0,
+                "{bytes} bytes: sent to a drained server over the grace after its list was written"
+            );
+        }
+    });
+}
+
+/// What one process sent too late that had so many bytes of an answer.
+async fn begun(bytes: usize) -> usize {
+    let mut fleet = Fleet::start(&format!("begun-{bytes}"), 1, Duration::from_secs(7), |_| ()).await;
+    let before = fleet.registry.watches.get();
+    fleet.relay.arrivals(Arrival::SilentAfter(bytes));
+    fleet.relay.reset_after(0);
+    fleet.drain();
+    eventually("an answer begins", || fleet.registry.watches.get() > before).await;
+    let written = Instant::now();
+    fleet.ended().await;
+    assert!(fleet.tally.borrow().refused > 0);
+    fleet.sent_after(written + GRACE)
+}
--- a/standins/src/relay.rs
+++ b/standins/src/relay.rs
@@ -32,6 +32,8 @@
     Reset,
     /// It is passed on, and reset when so many bytes have come from the target.
     ResetAfter(usize),
+    /// It is passed on, and falls silent when so many bytes have come from the target.
+    SilentAfter(usize),
 }
 
 /// What happens to the connections that are open.
@@ -129,6 +131,16 @@
                 pass(near, far, harm, Some(bytes)).await;
             }
         }
+        Arrival::SilentAfter(bytes) => {
+            if let Ok(mut far) = TcpStream::connect(target).await {
+                let mut near = near;
+                let mut request = [0; PIECE];
+                let count = near.read(&mut request).await.unwrap_or(0);
+                if far.write_all(&request[..count]).await.is_ok() {
+                    fall_silent(near, far, bytes).await;
+                }
+            }
+        }
         Arrival::Refused(after) => refuse(near, after).await,
         Arrival::Crowded(after) => {
             let others = waiting.replace(waiting.get() + 1);
@@ -158,6 +170,19 @@
     let _ = SockRef::from(stream).set_linger(Some(Duration::ZERO));
 }
 
+/// Passes on so many bytes more from the target, and stays open.
+async fn fall_silent(mut near: TcpStream, mut far: TcpStream, bytes: usize) {
+    let (mut left, mut piece) = (bytes, [0; PIECE]);
+    while left > 0 {
+        let count = far.read(&mut piece).await.unwrap_or(0).min(left);
+        if count == 0 || near.write_all(&piece[..count]).await.is_err() {
+            return;
+        }
+        left -= count;
+    }
+    while near.read(&mut piece).await.is_ok_and(|count| count > 0) {}
+}
+
 /// Passes on what comes either way until a side ends, or what harm asks for.
 async fn pass(
     mut near: TcpStream,
@@ -173,18 +198,7 @@
                 (_, Harm::ResetAfter(0)) => return reset(&near),
                 (_, Harm::End) => return,
                 (_, Harm::ResetAfter(bytes)) => left = Some(bytes),
-                (_, Harm::SilenceAfter(bytes)) => {
-                    let mut more = bytes;
-                    while more > 0 {
-                        let count = far.read(&mut down).await.unwrap_or(0).min(more);
-                        if count == 0 || near.write_all(&down[..count]).await.is_err() {
-                            return;
-                        }
-                        more -= count;
-                    }
-                    while near.read(&mut up).await.is_ok_and(|count| count > 0) {}
-                    return;
-                }
+                (_, Harm::SilenceAfter(bytes)) => return fall_silent(near, far, bytes).await,
                 (Err(_), Harm::None) => return,
                 (Ok(()), Harm::None) => {}
             },
