Test that fails: engines send by a list that the stalled one has not read (off)

While the engine that watches for its process is stalled, the others send for up to 1.05 s, until it is missed.

--- a/proxy/tests/cores/watch.rs
+++ b/proxy/tests/cores/watch.rs
@@ -6,6 +6,7 @@
 use nettleworks_engine::calls::Reply;
 use nettleworks_engine::list::Health;
 use nettleworks_standins::{eventually, request, run, Arrival, Relay, Site};
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::oneshot;
 use tokio::task::spawn_local;
@@ -17,6 +18,9 @@
 /// What a lost watch hides counts as notified after this, and is heeded within the grace.
 const HEEDED: Duration = Duration::from_secs(7);
 
+/// What is not read may be sent past for so long: the grace of a second, less what an engine may be held up.
+const UNREAD_MOST: Duration = Duration::from_millis(850);
+
 /// A process of a fleet of forty, whose calls for the list are spread over seconds, and a relay before its discovery.
 async fn watched_through_a_relay(site: &Site) -> (Process, Relay) {
     let relay = Relay::start(site.discovery).await;
@@ -164,3 +168,40 @@
         process.stop().await;
     });
 }
+
+/// The first engine stalls, and word of a drain lies unread in its socket. Until it is missed the others begin nothing that
+/// would be over the grace.
+#[test]
+fn no_engine_sends_by_a_list_that_the_stalled_one_has_not_read() {
+    let site = Site::start(vec![echo(1, vec![]); 2]);
+    run(async {
+        let process = Rc::new(Process::start(&site));
+        process.ready().await;
+        let until = Instant::now() + STALL;
+        for shard in 1..SHARDS {
+            let process = process.clone();
+            spawn_local(async move {
+                while Instant::now() < until {
+                    reply_at(&process, shard).await;
+                }
+            });
+        }
+        sleep(Duration::from_millis(200)).await;
+        process.block(0, STALL);
+        sleep(Duration::from_millis(20)).await;
+        site.with(|inside| inside.list(1, "Terminating"));
+        let (drained, before) = (Instant::now(), site.counts()[1]);
+        sleep(UNREAD_MOST).await;
+        let in_time = site.counts()[1];
+        assert!(in_time > before, "none was sent at all");
+        for shard in 1..SHARDS {
+            while !knows_of_the_drain(&process, shard).await {
+                sleep(Duration::from_millis(5)).await;
+            }
+        }
+        assert!(drained.elapsed() < STALL, "another engine reads the list");
+        assert_eq!(site.counts()[1], in_time, "sent by a list that was not read");
+        sleep(STALL).await;
+        Rc::into_inner(process).expect("all have ended").stop().await;
+    });
+}
