The end of a watch is described, judged and answered by functions of their own

Change: End::withheld_since, Watch::judge, Watch::retry_after and the words of the log are functions; a cut answer is judged no outage by the same one.

--- a/engine/src/discovery/mod.rs
+++ b/engine/src/discovery/mod.rs
@@ -55,6 +55,17 @@
     },
 }
 
+impl End {
+    /// Since when something was on its way that did not arrive whole; `None`: nothing was.
+    pub fn withheld_since(&self) -> Option<Instant> {
+        match self {
+            End::Cut { since, .. } => Some(*since),
+            End::Unanswered(calls) => calls.iter().filter_map(|call| call.cut_since).min(),
+            End::Silent | End::Failed(_) | End::Ended { .. } => None,
+        }
+    }
+}
+
 /// What a watch shows while it is open.
 #[derive(Debug)]
 pub enum Sign {
--- a/engine/src/driver/watch.rs
+++ b/engine/src/driver/watch.rs
@@ -88,6 +88,25 @@
         proves
     }
 
+    /// What the calls of a watch prove that has ended so. An answer that was cut off proves nothing of an outage.
+    fn judge(&mut self, end: &End) -> Verdict {
+        match end {
+            End::Unanswered(calls) if end.withheld_since().is_none() => {
+                self.outage.judge(calls, Instant::now())
+            }
+            _ => Verdict::Unknown,
+        }
+    }
+
+    /// After what time the next is opened where the list is pushed.
+    fn retry_after(&mut self, end: &End) -> Duration {
+        if matches!(end, End::Silent) {
+            return Duration::ZERO;
+        }
+        self.failed += 1;
+        PUSH_RETRY * (1 << (self.failed - 1).min(PUSH_DOUBLINGS))
+    }
+
     /// From when on a change may have been missed that discovery could have told.
     fn unverified_since(&self) -> Instant {
         self.unreached.map_or(self.alive, |unreached| self.alive.max(unreached))
@@ -263,57 +282,31 @@
         if driver.watch.number != number {
             return None;
         }
+        let verdict = driver.watch.judge(&end);
         let (open, silence) = (driver.watch.opened.elapsed(), driver.watch.silence());
-        let (what, kind) = match &end {
-            End::Silent => ("fell silent".to_owned(), ListKind::Silent),
-            End::Unanswered(calls) if cut_since(calls).is_some() => {
-                (format!("not answered whole: {}", describe(calls)), ListKind::Silent)
-            }
-            End::Unanswered(calls) => (format!("not answered: {}", describe(calls)), ListKind::Failed),
-            End::Failed(reason) => (format!("failed: {reason}"), ListKind::Failed),
-            End::Ended { reason, .. } => (format!("was ended: {reason}"), ListKind::Failed),
-            End::Cut { reason, .. } => (format!("failed within a list: {reason}"), ListKind::Silent),
-        };
-        let verdict = match &end {
-            End::Unanswered(calls) => driver.watch.outage.judge(calls, Instant::now()),
-            _ => Verdict::Unknown,
-        };
-        let judged = match verdict {
-            Verdict::Unknown => "",
-            Verdict::Down => ", discovery is taken for down",
-            Verdict::NeverDown => ", discovery was never down",
-        };
+        let (what, judged) = (describe(&end), describe_verdict(verdict));
         let line =
             format!("watch {number}: {what}{judged}, opened {open:.3?} ago, last alive {silence:.3?} ago");
         driver.desk.log(&line);
-        let retry = match end {
-            End::Silent => Duration::ZERO,
-            _ => {
-                driver.watch.failed += 1;
-                PUSH_RETRY * (1 << (driver.watch.failed - 1).min(PUSH_DOUBLINGS))
-            }
-        };
+        let retry = driver.watch.retry_after(&end);
         let clock = driver.desk.clock;
         let since = clock.at(driver.watch.unverified_since());
-        let more = match end {
-            End::Cut { since, .. } => Some(Freshness::Withheld { since: clock.at(since) }),
-            End::Ended { at, .. } => Some(Freshness::Ended { at: clock.at(at) }),
-            End::Unanswered(calls) if cut_since(&calls).is_some() => {
-                cut_since(&calls).map(|since| Freshness::Withheld { since: clock.at(since) })
+        let more = match verdict {
+            Verdict::Down => {
+                driver.watch.unreached = Some(driver.watch.opened);
+                Some(Freshness::Unreachable { since: clock.at(driver.watch.opened) })
             }
-            End::Unanswered(_) => match verdict {
-                Verdict::Unknown => None,
-                Verdict::Down => {
-                    driver.watch.unreached = Some(driver.watch.opened);
-                    Some(Freshness::Unreachable { since: clock.at(driver.watch.opened) })
-                }
-                Verdict::NeverDown => {
-                    driver.watch.unreached = None;
-                    Some(Freshness::Reachable)
-                }
+            Verdict::NeverDown => {
+                driver.watch.unreached = None;
+                Some(Freshness::Reachable)
+            }
+            Verdict::Unknown => match end {
+                End::Ended { at, .. } => Some(Freshness::Ended { at: clock.at(at) }),
+                _ => end.withheld_since().map(|since| Freshness::Withheld { since: clock.at(since) }),
             },
-            End::Silent | End::Failed(_) => None,
         };
+        let told_soon = matches!(end, End::Silent) || end.withheld_since().is_some();
+        let kind = if told_soon { ListKind::Silent } else { ListKind::Failed };
         drop(driver);
         let freshness = std::iter::once(Freshness::Unverified { since }).chain(more);
         self.run(freshness.map(Event::Freshness).chain([Event::Members { kind, entries: Vec::new() }]));
@@ -321,12 +314,26 @@
     }
 }
 
-/// How calls have failed, in words.
-fn describe(calls: &[FailedCall]) -> String {
-    calls.iter().map(FailedCall::to_string).collect::<Vec<_>>().join("; ")
+/// How a watch has ended, in words.
+fn describe(end: &End) -> String {
+    let each = |calls: &[FailedCall]| calls.iter().map(FailedCall::to_string).collect::<Vec<_>>().join("; ");
+    match end {
+        End::Silent => "fell silent".to_owned(),
+        End::Unanswered(calls) if end.withheld_since().is_some() => {
+            format!("not answered whole: {}", each(calls))
+        }
+        End::Unanswered(calls) => format!("not answered: {}", each(calls)),
+        End::Failed(reason) => format!("failed: {reason}"),
+        End::Ended { reason, .. } => format!("was ended: {reason}"),
+        End::Cut { reason, .. } => format!("failed within a list: {reason}"),
+    }
 }
 
-/// When an answer to one of these began to come that was cut off.
-fn cut_since(calls: &[FailedCall]) -> Option<Instant> {
-    calls.iter().filter_map(|call| call.cut_since).min()
+/// What its calls have proven, in words that follow these.
+fn describe_verdict(verdict: Verdict) -> &'static str {
+    match verdict {
+        Verdict::Unknown => "",
+        Verdict::Down => ", discovery is taken for down",
+        Verdict::NeverDown => ", discovery was never down",
+    }
 }
