A head with nothing behind it is no list; a held call that is reset ran out

Cause: the lab's discovery says nothing behind the head where nothing has changed, as the protocol may be read; took such a head for a list on its way, and the list expired after each call. And the protocol has a call that fails end with 503 or a reset: a reset after a second or more is a call that ran out as well.

--- a/engine/src/discovery/mod.rs
+++ b/engine/src/discovery/mod.rs
@@ -137,9 +137,11 @@
     // Since when the first list is on its way: from the first byte of the head on.
     let head_at = incoming.first_byte().unwrap_or(answered);
     let mut first = Some(stall.read(answered).map_or(head_at, |late| late.min(head_at)));
+    // Where nothing has changed nothing may follow the head.
+    incoming.parsed();
     let mut warned = false;
     loop {
-        let coming = first.or_else(|| incoming.unparsed_since());
+        let coming = incoming.unparsed_since();
         let partial = coming.filter(|_| !warned).map(|since| since + PARTIAL);
         let until = partial.map_or(alive + SILENCE, |at| at.min(alive + SILENCE));
         let Ok(frame) = timeout_at(stall.look_at_or(until), body.frame()).await else {
--- a/engine/src/discovery/outage.rs
+++ b/engine/src/discovery/outage.rs
@@ -10,7 +10,7 @@
 
 /// A discovery that is up refuses at once what it has no room for.
 const REFUSED_AT_ONCE: Duration = Duration::from_millis(100);
-/// A refusal after this or more is that of a discovery that is down: the call was let run out.
+/// A refusal or a reset after this or more is that of a discovery that is down: the call was let run out.
 const RAN_OUT: Duration = Duration::from_secs(1);
 /// For so long a sign that discovery is up speaks against calls that seem to have run out.
 const UP_FOR: Duration = Duration::from_secs(6);
@@ -45,7 +45,11 @@
             return if once { Verdict::NeverDown } else { Verdict::Unknown };
         }
         let nobody_listens = |call: &FailedCall| matches!(call.failure, CallFailure::ConnectionRefused(_));
-        let let_run_out = |call: &FailedCall| matches!(call.failure, CallFailure::Refused(_));
+        let let_run_out = |call: &FailedCall| match call.failure {
+            CallFailure::Refused(_) => true,
+            CallFailure::Broken(_) => call.took >= RAN_OUT,
+            _ => false,
+        };
         let longest = calls.iter().map(|call| call.took).max();
         let seen_up = self.seen_up.is_some_and(|at| now < at + UP_FOR);
         let ran_out = !seen_up && longest.is_some_and(|took| took >= RAN_OUT);
@@ -92,6 +96,8 @@
     fn calls_that_are_let_run_out_or_meet_nobody_prove_an_outage() {
         assert!(proven(&[refused(2_000)]));
         assert!(proven(&[refused(3_000), refused(750)]));
+        // The protocol has a call that fails end with 503 or a reset.
+        assert!(proven(&[call(2_000, CallFailure::Broken("connection reset".into()))]));
         assert!(proven(&[call(0, CallFailure::ConnectionRefused("refused".into()))]));
     }
 
@@ -100,15 +106,19 @@
         assert!(!proven(&[]));
         assert!(!proven(&[refused(5)]), "refused at once");
         assert!(!proven(&[refused(2_256), refused(5)]), "the second one was refused at once");
-        for took in [0, 1_000, 4_500] {
-            for failure in [
-                CallFailure::NoConnection("network is unreachable".into()),
-                CallFailure::Broken("connection reset".into()),
-                CallFailure::TimedOut,
-            ] {
-                let calls = [refused(2_000), call(took, failure)];
-                assert!(!proven(&calls[1..]) && !proven(&calls), "{calls:?}");
-            }
+        let unreachable = || CallFailure::NoConnection("network is unreachable".into());
+        let broken = || CallFailure::Broken("connection reset".into());
+        for (took, failure) in [
+            (0, unreachable()),
+            (1_000, unreachable()),
+            (4_500, unreachable()),
+            (0, broken()),
+            (999, broken()),
+            (1_000, CallFailure::TimedOut),
+            (6_000, CallFailure::TimedOut),
+        ] {
+            let calls = [refused(2_000), call(took, failure)];
+            assert!(!proven(&calls[1..]) && !proven(&calls), "{calls:?}");
         }
     }
 
--- a/engine/src/http1/exchange.rs
+++ b/engine/src/http1/exchange.rs
@@ -1,22 +1,17 @@
 //! Connections to hosts, and one exchange on one of them.
 
-use super::Slot;
-use crate::dial::{dial, DialError};
+use super::connection::Connection;
 use crate::meter::Meter;
 use crate::protocol::End;
-use crate::socket::Socket;
-use crate::task::{spawn, Task};
 use http::response::Parts;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Bytes, Frame, SizeHint};
-use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{self, HeaderMap, HeaderValue};
 use hyper::{Request, Response, StatusCode};
 use nettleworks_policy::{Load, Outcome};
 use std::convert::Infallible;
 use std::error::Error;
 use std::io;
-use std::net::SocketAddr;
 use std::pin::Pin;
 use std::task::{Context, Poll};
 use std::time::Duration;
@@ -76,57 +71,6 @@
     }
 }
 
-/// Why no connection to a host came up.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum OpenError {
-    /// This machine was short of something, which says nothing of the host.
-    OfThisMachine,
-    /// The host, or the way to it.
-    OfTheHost,
-}
-
-/// A connection to a host. It is closed when this is dropped, also with a request out on it.
-#[derive(Debug)]
-pub struct Connection {
-    sender: SendRequest<Outgoing>,
-    socket: Socket,
-    /// How often it had been read when its last answer was whole.
-    reads: u64,
-    _task: Task,
-    _slot: Slot,
-}
-
-impl Drop for Connection {
-    fn drop(&mut self) {
-        // The place that it held is free now, and so must its descriptor be; its task ends later.
-        self.socket.close();
-    }
-}
-
-impl Connection {
-    /// Opens a connection; `slot` is held for as long as it is open.
-    ///
-    /// # Errors
-    ///
-    /// Why it did not come up. What this machine is short of is waited for.
-    pub async fn open(address: SocketAddr, limit: Duration, slot: Slot) -> Result<Connection, OpenError> {
-        let own = |error: &DialError| matches!(error, DialError::OfThisMachine(_));
-        let socket = Socket::new(dial(address, limit, own).await.map_err(|error| match error {
-            DialError::OfThisMachine(_) => OpenError::OfThisMachine,
-            _ => OpenError::OfTheHost,
-        })?);
-        let builder = http1::Builder::new().max_buf_size(HEAD_MOST).handshake(socket.clone());
-        let (sender, connection) = builder.await.map_err(|_| OpenError::OfTheHost)?;
-        Ok(Connection { sender, socket, reads: 0, _task: spawn(connection), _slot: slot })
-    }
-
-    /// Whether a request can be written to it now. Anything that has come since its last answer, its end or a
-    /// second answer, makes it useless: it would be taken for the next request's.
-    pub fn is_ready(&self) -> bool {
-        self.sender.is_ready() && self.socket.reads() == self.reads && self.socket.is_quiet()
-    }
-}
-
 /// Sends a request on a connection and reads the whole answer. The connection comes back if it can be used again.
 /// `None`: it was found closed before any of the request was written.
 pub async fn exchange(
@@ -296,6 +240,7 @@
 
 #[cfg(test)]
 mod connection_tests {
+    use super::super::Slot;
     use super::*;
     use crate::meter::{Fresh, Repeats};
     use std::future::Future;
--- a/engine/src/http1/mod.rs
+++ b/engine/src/http1/mod.rs
@@ -1,5 +1,6 @@
 //! HTTP/1.1 behind the driver's seam: what a call carries, and the connections that are kept to hosts.
 
+mod connection;
 mod exchange;
 
 pub use crate::dial::BoxError;
@@ -9,7 +10,8 @@
 use crate::meter::Meter;
 use crate::protocol::{Connections, End, Protocol, Target};
 use crate::quota::{Counted, Side};
-use exchange::{exchange, Connection, OpenError, Outgoing};
+use connection::{Connection, OpenError};
+use exchange::{exchange, Outgoing};
 use hyper::body::Bytes;
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use hyper::{Method, Request, Response, Uri};
