Review, case 2: a full store of keys forgets an answered charge, and it runs again

One client proxy by the command of deploy/balancer-keys.toml with deploy/keys.json as it stands; five slow charges that their hosts answer after the clients were told that they run; 42 s at 300 requests a second; the same five charges again with the same keys. No code of the project is changed.

--- a/review/stand/main.rs
+++ b/review/stand/main.rs
@@ -1,5 +1,6 @@
 //! The stand-ins and the verdicts of the review's cases: `stand CASE FOLDER TEMPORARY`. Started by each case's `run.sh`.
 
+mod burst_of_keys;
 mod common;
 mod second_answer;
 
@@ -20,6 +21,7 @@
     let temporary = Path::new(temporary);
     let broken = match case.as_str() {
         "second_answer" => second_answer::run(&record, temporary),
+        "burst_of_keys" => burst_of_keys::run(&record, temporary),
         _ => cannot_run("no such case"),
     };
     record.say(if broken { "the rule was BROKEN" } else { "the rule held" });
