Review, case 3: a crowded discovery is taken for down, and drained hosts get work

STANDING: a change counts as told at the latest 6 s after discovery had it and could be reached, and 1 s later nothing new may go to a host that drains.

Two of three client proxies are killed and start again while each call to discovery waits for 3 s and ends with 503, for 8 s; a host begins to drain 0.2 s after the kill. No code of the project is changed.

--- a/review/stand/main.rs
+++ b/review/stand/main.rs
@@ -2,6 +2,7 @@
 
 mod burst_of_keys;
 mod common;
+mod crowded_discovery;
 mod second_answer;
 
 use common::{cannot_run, Record};
@@ -21,6 +22,7 @@
     let temporary = Path::new(temporary);
     let broken = match case.as_str() {
         "second_answer" => second_answer::run(&record, temporary),
+        "crowded_discovery" => crowded_discovery::run(&record, temporary),
         "burst_of_keys" => burst_of_keys::run(&record, temporary),
         _ => cannot_run("no such case"),
     };
