--- a/review/stand/run_case.sh
+++ b/review/stand/run_case.sh
@@ -10,12 +10,11 @@
 target/review/stand "$case" "$here" "$temporary" &
 stand=$!
 end() {
-    # The stand ends its client proxies itself; should it be gone, they are its orphans, by their ids.
-    kill "$stand" 2>/dev/null
+    # The stand ends its client proxies itself; those that it has left behind are named by their ids here.
     for file in "$temporary"/*.pid; do [ -e "$file" ] && kill -9 "$(cat "$file")" 2>/dev/null; done
     rm -rf "$temporary"
 }
-trap 'end; exit 2' INT TERM
+trap 'kill "$stand" 2>/dev/null; end; exit 2' INT TERM
 wait "$stand"
 status=$?
 [ -n "${KEEP_LOGS:-}" ] && mkdir -p "$KEEP_LOGS" && cp "$temporary"/*.log "$KEEP_LOGS"/ 2>/dev/null
