engine: count how long reused connections were idle, and what hosts send beyond responses

Change: histograms of idle times at reuse, of surplus input by how late it came, and of that by the idle time before the last request; the pool is a module of its own, and the wrapper that counts reads, which stood in the discovery code, serves hosts' sockets too.

--- a/engine/src/discovery/received.rs
+++ b/engine/src/discovery/received.rs
@@ -1,12 +1,8 @@
 //! Tracks the bytes received on a connection to discovery, including those that do not form a complete value yet.
 
-use crate::net::Stream;
+use crate::observed_stream::ReadObserver;
 use std::cell::Cell;
-use std::io;
-use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::time::Instant;
 
 /// Bytes that may follow a value without belonging to the next one: the CRLF that ends its chunk.
@@ -65,48 +61,9 @@
     }
 }
 
-/// A stream that records what is received on it.
-#[derive(Debug)]
-pub(super) struct ObservedStream {
-    stream: Stream,
-    received: Rc<ReceiveProgress>,
-}
-
-impl ObservedStream {
-    /// Records in `received` what is received on `stream`.
-    pub fn new(stream: Stream, received: Rc<ReceiveProgress>) -> ObservedStream {
-        ObservedStream { stream, received }
-    }
-}
-
-impl AsyncRead for ObservedStream {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let before = buffer.filled().len();
-        let read = Pin::new(&mut self.stream).poll_read(context, buffer);
-        self.received.record(buffer.filled().len() - before);
-        read
-    }
-}
-
-impl AsyncWrite for ObservedStream {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
-    }
-
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(context)
+impl ReadObserver for Rc<ReceiveProgress> {
+    fn on_read(&self, bytes: usize) {
+        self.record(bytes);
     }
 }
 
--- a/engine/src/discovery/request.rs
+++ b/engine/src/discovery/request.rs
@@ -1,8 +1,9 @@
 //! Requests that open a watch at discovery, up to the head of the response.
 
-use super::received::{ObservedStream, ReceiveProgress};
+use super::received::ReceiveProgress;
 use crate::dial::{dial, BoxError, DialError};
 use crate::net::Stream;
+use crate::observed_stream::ObservedStream;
 use crate::task::{self, Task};
 use http_body_util::Empty;
 use hyper::body::{self, Bytes};
--- a/engine/src/http1/connection.rs
+++ b/engine/src/http1/connection.rs
@@ -1,13 +1,14 @@
 //! A single connection to a host.
 
 use super::exchange::{OutgoingBody, MAX_HEAD_BYTES};
-use super::Slot;
+use super::pool::Slot;
 use crate::dial::{dial, DialError};
 use crate::socket::Socket;
 use crate::task::{spawn, Task};
 use hyper::client::conn::http1::{self, SendRequest};
 use std::net::SocketAddr;
 use std::time::Duration;
+use tokio::time::Instant;
 
 /// Why a connection to a host was not established.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -18,6 +19,13 @@
     Remote,
 }
 
+/// The state of a connection when the last response was complete.
+#[derive(Clone, Copy, Debug)]
+struct LastResponse {
+    at: Instant,
+    bytes_read: u64,
+}
+
 /// A connection to a host. Dropping it closes it, even if a request is in flight on it.
 #[derive(Debug)]
 pub struct Connection {
@@ -25,6 +33,10 @@
     pub(super) socket: Socket,
     /// The read count of the socket when the last response was complete; 0 before the first.
     pub(super) reads_at_response: u64,
+    /// The bytes read, and the time, when the last response was complete.
+    last_response: LastResponse,
+    /// How long the connection had been idle when the last request was sent on it; `None` for its first request.
+    pub(super) idle_before_request: Option<Duration>,
     _task: Task,
     _slot: Slot,
 }
@@ -56,7 +68,42 @@
             })?);
         let builder = http1::Builder::new().max_buf_size(MAX_HEAD_BYTES).handshake(socket.clone());
         let (sender, connection) = builder.await.map_err(|_| OpenError::Remote)?;
-        Ok(Connection { sender, socket, reads_at_response: 0, _task: spawn(connection), _slot: slot })
+        let last_response = LastResponse { at: Instant::now(), bytes_read: 0 };
+        Ok(Connection {
+            sender,
+            socket,
+            reads_at_response: 0,
+            last_response,
+            idle_before_request: None,
+            _task: spawn(connection),
+            _slot: slot,
+        })
+    }
+
+    /// Records that a response is complete.
+    pub fn record_response(&mut self) {
+        self.reads_at_response = self.socket.read_count();
+        self.last_response = LastResponse { at: Instant::now(), bytes_read: self.socket.bytes_read() };
+    }
+
+    /// Since when the connection is idle.
+    pub fn idle_since(&self) -> Instant {
+        self.last_response.at
+    }
+
+    /// How long the connection has been idle.
+    pub fn idle_time(&self) -> Duration {
+        self.idle_since().elapsed()
+    }
+
+    /// How long after the last response the host sent bytes that belong to no response; `None` if it sent none. An end
+    /// of stream is no surplus.
+    pub fn surplus_delay(&self) -> Option<Duration> {
+        if self.socket.bytes_read() > self.last_response.bytes_read {
+            return Some(self.socket.last_read_at().saturating_duration_since(self.last_response.at));
+        }
+        let unread = !self.socket.has_no_pending_input() && !self.socket.is_closed_by_peer();
+        unread.then(|| self.idle_time())
     }
 
     /// Whether the next request can be sent. Any input since the last response, be it end of stream or a second
--- a/engine/src/http1/exchange.rs
+++ b/engine/src/http1/exchange.rs
@@ -73,7 +73,8 @@
     }
 }
 
-/// Sends a request on a connection and reads the whole response. Also returns the connection if it can be reused.
+/// Sends a request on a connection and reads the whole response. Also returns the connection if its exchange is complete; it may
+/// have become unusable since.
 /// Returns `None` if the connection turned out to be closed before any byte of the request was written.
 pub async fn exchange(
     mut connection: Connection,
@@ -110,13 +111,12 @@
         }
     };
     // Make the connection ready before the outcome is reported, or the next request would find no idle connection.
-    let mut reusable =
+    let reusable =
         complete && matches!(timeout(DISCARD_TIMEOUT, connection.sender.ready()).await, Ok(Ok(())));
     if reusable {
-        connection.reads_at_response = connection.socket.read_count();
+        connection.record_response();
         // The connection's task detects bytes beyond the response only when it is polled once more.
         yield_now().await;
-        reusable = connection.is_ready();
     }
     Some((AttemptEnd { outcome, load, answer }, reusable.then_some(connection)))
 }
@@ -243,7 +243,7 @@
 
 #[cfg(test)]
 mod connection_tests {
-    use super::super::Slot;
+    use super::super::pool::Slot;
     use super::*;
     use crate::meter::{FreshnessGate, RepeatWindow};
     use std::future::Future;
--- a/engine/src/lib.rs
+++ b/engine/src/lib.rs
@@ -11,6 +11,7 @@
 //! - [`list`]: the format of the server list. [`quota`]: connection counts of the whole process. [`extensions`]: the
 //!   configuration of interceptors. [`config`]: the configuration of the engine.
 //! - [`protocol`]: the interface to the protocol that hosts speak. [`state`]: snapshots of the engine's state.
+//! - [`histogram`]: durations in counts.
 //! - [`group`]: the interface to the other engines of the process, if there are any.
 //! - [`calls`]: requests and open calls. [`interceptor`]: the subsystems that every call passes.
 //! - [`socket`], [`http1`]: HTTP/1.1 as a [`protocol`]. [`discovery`]: the watch of the server list.
@@ -26,12 +27,14 @@
 pub mod driver;
 pub mod extensions;
 pub mod group;
+pub mod histogram;
 pub mod http1;
 pub mod interceptor;
 pub mod list;
 pub mod meter;
 pub mod mutant;
 pub mod net;
+mod observed_stream;
 pub mod protocol;
 pub mod quota;
 pub mod socket;
--- /dev/null
+++ b/engine/src/observed_stream.rs
@@ -0,0 +1,63 @@
+//! A stream that reports how many bytes each read returned.
+
+use crate::net::Stream;
+use std::io;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+
+/// Is told what is read from an [`ObservedStream`].
+pub trait ReadObserver: Unpin {
+    /// Called after each poll of a read, with the number of bytes that it returned.
+    fn on_read(&self, bytes: usize);
+}
+
+/// A stream whose reads are reported to an observer.
+#[derive(Debug)]
+pub struct ObservedStream<O> {
+    stream: Stream,
+    observer: O,
+}
+
+impl<O> ObservedStream<O> {
+    /// Reports to `observer` what is read from `stream`.
+    pub fn new(stream: Stream, observer: O) -> ObservedStream<O> {
+        ObservedStream { stream, observer }
+    }
+
+    /// The underlying stream.
+    pub fn stream(&self) -> &Stream {
+        &self.stream
+    }
+}
+
+impl<O: ReadObserver> AsyncRead for ObservedStream<O> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        let read = Pin::new(&mut self.stream).poll_read(context, buffer);
+        self.observer.on_read(buffer.filled().len() - before);
+        read
+    }
+}
+
+impl<O: ReadObserver> AsyncWrite for ObservedStream<O> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(context, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
--- a/engine/src/protocol.rs
+++ b/engine/src/protocol.rs
@@ -3,11 +3,13 @@
 //! them.
 
 use crate::config::Config;
+use crate::histogram::DurationHistogram;
 use crate::meter::Meter;
 use nettleworks_policy::{Load, Outcome, ServerId};
 use std::future::Future;
 use std::hash::Hash;
 use std::net::SocketAddr;
+use std::ops::AddAssign;
 use std::rc::Rc;
 use tokio::time::Instant;
 
@@ -51,6 +53,26 @@
     pub open_failed: u64,
     /// How often a kept connection turned out to be broken when it was reused.
     pub broken_reuse: u64,
+    /// Attempts that used a kept connection, by how long it had been idle.
+    pub reused: DurationHistogram,
+    /// Kept connections on which a host sent more than the response, by how long after it the surplus came.
+    pub surplus: DurationHistogram,
+    /// The same connections, by how long they had been idle before their last request. A response that came after that
+    /// request may have been the surplus of the one before, and the surplus the real response.
+    pub surplus_by_idle_time: DurationHistogram,
+}
+
+impl AddAssign for Connections {
+    fn add_assign(&mut self, other: Connections) {
+        self.open += other.open;
+        self.idle += other.idle;
+        self.opened += other.opened;
+        self.open_failed += other.open_failed;
+        self.broken_reuse += other.broken_reuse;
+        self.reused += other.reused;
+        self.surplus += other.surplus;
+        self.surplus_by_idle_time += other.surplus_by_idle_time;
+    }
 }
 
 /// A protocol that carries calls to hosts.
--- a/engine/src/socket.rs
+++ b/engine/src/socket.rs
@@ -3,6 +3,7 @@
 
 use crate::meter::Meter;
 use crate::net::Stream;
+use crate::observed_stream::{ObservedStream, ReadObserver};
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
@@ -12,13 +13,24 @@
 use std::task::{Context, Poll};
 use tokio::time::Instant;
 
+/// The number of bytes read from a stream.
+#[derive(Debug, Default)]
+struct ByteCount(Cell<u64>);
+
+impl ReadObserver for Rc<ByteCount> {
+    fn on_read(&self, bytes: usize) {
+        self.0.set(self.0.get() + bytes as u64);
+    }
+}
+
 /// The state that all clones of a [`Socket`] share.
 #[derive(Debug)]
 struct Inner {
     /// `None` after the owner has closed the socket.
-    io: RefCell<Option<TokioIo<Stream>>>,
+    io: RefCell<Option<TokioIo<ObservedStream<Rc<ByteCount>>>>>,
     /// Counts the bytes written for the attempt that uses the connection now, and may forbid writing them.
     meter: RefCell<Meter>,
+    bytes_read: Rc<ByteCount>,
     read_count: Cell<u64>,
     write_blocked: Cell<bool>,
     last_read_at: Cell<Instant>,
@@ -31,9 +43,11 @@
 impl Socket {
     /// Wraps a stream.
     pub fn new(stream: impl Into<Stream>) -> Socket {
+        let bytes_read = Rc::<ByteCount>::default();
         Socket(Rc::new(Inner {
-            io: RefCell::new(Some(TokioIo::new(stream.into()))),
+            io: RefCell::new(Some(TokioIo::new(ObservedStream::new(stream.into(), bytes_read.clone())))),
             meter: RefCell::default(),
+            bytes_read,
             read_count: Cell::new(0),
             write_blocked: Cell::new(false),
             last_read_at: Cell::new(Instant::now()),
@@ -56,6 +70,11 @@
         self.0.read_count.get()
     }
 
+    /// The number of bytes read.
+    pub fn bytes_read(&self) -> u64 {
+        self.0.bytes_read.0.get()
+    }
+
     /// When a read last completed; before the first read, when the socket was created.
     pub fn last_read_at(&self) -> Instant {
         self.0.last_read_at.get()
@@ -64,13 +83,13 @@
     /// Whether the socket is open and there is nothing to read, not even the end of the stream. Makes a system call,
     /// since input that arrived after the stream's task was last polled is visible nowhere else.
     pub fn has_no_pending_input(&self) -> bool {
-        self.0.io.borrow().as_ref().is_some_and(|io| io.inner().has_no_pending_input())
+        self.0.io.borrow().as_ref().is_some_and(|io| io.inner().stream().has_no_pending_input())
     }
 
     /// Whether the peer has closed the stream, the connection has broken, or the owner has closed the socket, even if
     /// data is still unread.
     pub fn is_closed_by_peer(&self) -> bool {
-        self.0.io.borrow().as_ref().is_none_or(|io| io.inner().is_closed_by_peer())
+        self.0.io.borrow().as_ref().is_none_or(|io| io.inner().stream().is_closed_by_peer())
     }
 
     /// Whether the last write is pending because the peer does not read.
--- a/engine/tests/tree.rs
+++ b/engine/tests/tree.rs
@@ -4,13 +4,15 @@
 use std::path::{Path, PathBuf};
 
 /// From the lowest layer to the highest.
-const LAYERS: [&str; 21] = [
+const LAYERS: [&str; 23] = [
     "mutant",
+    "histogram",
     "task",
     "stall",
     "meter",
     "transient",
     "net",
+    "observed_stream",
     "clock",
     "dial",
     "list",
--- a/library/src/state.rs
+++ b/library/src/state.rs
@@ -77,12 +77,7 @@
             merged.calls += state.calls;
             merged.lingering += state.lingering;
             merged.ids += state.ids;
-            let (total, more) = (&mut merged.connections, state.connections);
-            total.open += more.open;
-            total.idle += more.idle;
-            total.opened += more.opened;
-            total.open_failed += more.open_failed;
-            total.broken_reuse += more.broken_reuse;
+            merged.connections += state.connections;
             merged.requests += state.requests;
             merged.attempts += state.attempts;
             merged.keys = match (merged.keys, state.keys) {
