engine: a kept connection is used again only after it has settled

Cause: Http1 preferred connections that had been idle for 10 ms, but used one that had just answered where there was no other. What its host sent late, while the next request was on its way, was read as the response to that request, and each later answer on the connection went to the request after its own. Change: engine/src/http1/reuse.rs decides, without I/O or clock: no connection is used before it has been idle for its host's settle time (20 ms, or twice the longest delay of surplus bytes in the last minute, at most 200 ms). A request waits for the one that settles first (40 ms and a quarter of its time at most), else opens one; waits of 0.5 s in total buy a host one more connection. An abandoned wait leaves the connection in the pool. Input is looked for at the first write, not when the connection is chosen, and a response that began before its request was fully written is not its response. The unit test of the former preference is replaced by one over all times: no unsettled connection is ever used.

--- a/engine/src/http1/connection.rs
+++ b/engine/src/http1/connection.rs
@@ -3,6 +3,7 @@
 use super::exchange::{OutgoingBody, MAX_HEAD_BYTES};
 use super::pool::Slot;
 use crate::dial::{dial, DialError};
+use crate::meter::Meter;
 use crate::socket::Socket;
 use crate::task::{spawn, Task};
 use hyper::client::conn::http1::{self, SendRequest};
@@ -106,11 +107,20 @@
         unread.then(|| self.idle_time())
     }
 
-    /// Whether the next request can be sent. Any input since the last response, be it end of stream or a second
-    /// response, makes the connection unusable: it would be parsed as the response to the next request.
+    /// Prepares the connection for a request that is counted by `meter`.
+    pub fn begin_request(&mut self, meter: &Meter) {
+        self.socket.begin_request(meter);
+        self.idle_before_request = (self.reads_at_response > 0).then(|| self.idle_time());
+    }
+
+    /// Whether nothing was read since the last response, be it end of stream or a second response: it would be parsed
+    /// as the response to the next request. Makes no system call, so input may be unread.
+    pub fn is_quiet(&self) -> bool {
+        self.sender.is_ready() && self.socket.read_count() == self.reads_at_response
+    }
+
+    /// Whether the next request can be sent: the connection is quiet, and no input is unread.
     pub fn is_ready(&self) -> bool {
-        self.sender.is_ready()
-            && self.socket.read_count() == self.reads_at_response
-            && self.socket.has_no_pending_input()
+        self.is_quiet() && self.socket.has_no_pending_input()
     }
 }
--- a/engine/src/http1/exchange.rs
+++ b/engine/src/http1/exchange.rs
@@ -73,15 +73,22 @@
     }
 }
 
-/// Sends a request on a connection and reads the whole response. Also returns the connection if its exchange is complete; it may
-/// have become unusable since.
-/// Returns `None` if the connection turned out to be closed before any byte of the request was written.
+/// How an exchange ended after something was written.
+pub struct ExchangeEnd {
+    /// The end of the attempt.
+    pub end: AttemptEnd<Response<Bytes>>,
+    /// Whether the exchange is complete, so that the connection can be used again unless it breaks meanwhile.
+    pub reusable: bool,
+}
+
+/// Sends a request on a connection and reads the whole response. Returns `None` if the connection turned out to be
+/// closed, or to have input, before any byte of the request was written.
 pub async fn exchange(
-    mut connection: Connection,
+    connection: &mut Connection,
     request: Request<OutgoingBody>,
     meter: &Meter,
-) -> Option<(AttemptEnd<Response<Bytes>>, Option<Connection>)> {
-    connection.socket.set_meter(meter);
+) -> Option<ExchangeEnd> {
+    connection.begin_request(meter);
     let (reused, started) = (connection.reads_at_response > 0, Instant::now());
     let response = match connection.sender.send_request(request).await {
         Ok(response) => response,
@@ -91,9 +98,14 @@
             let unanswered = reused && connection.socket.read_count() <= connection.reads_at_response + 1;
             let outcome = outcome_of_error(&error);
             let stale = outcome == Outcome::Reset && unanswered && started.elapsed() < STALE_CLOSE_WINDOW;
-            return Some((AttemptEnd::without_answer(if stale { Outcome::Stale } else { outcome }), None));
+            let outcome = if stale { Outcome::Stale } else { outcome };
+            return Some(ExchangeEnd { end: AttemptEnd::without_answer(outcome), reusable: false });
         }
     };
+    if connection.socket.had_early_input() {
+        // It is no response to this request, which may have run all the same.
+        return Some(ExchangeEnd { end: AttemptEnd::without_answer(Outcome::Unknown), reusable: false });
+    }
     let (head, body) = response.into_parts();
     let load = load_report(&head.headers);
     let body = Limited::new(body, MAX_BODY_BYTES).collect();
@@ -118,7 +130,7 @@
         // The connection's task detects bytes beyond the response only when it is polled once more.
         yield_now().await;
     }
-    Some((AttemptEnd { outcome, load, answer }, reusable.then_some(connection)))
+    Some(ExchangeEnd { end: AttemptEnd { outcome, load, answer }, reusable })
 }
 
 /// Copies a response out of the read buffer of its connection. Otherwise whoever keeps a few bytes of the response
@@ -269,10 +281,10 @@
     #[test]
     fn nothing_is_written_for_a_revoked_attempt() {
         run(async {
-            let (connection, mut host) = pair().await;
+            let (mut connection, mut host) = pair().await;
             let meter = Meter::default();
             let request = Request::new(OutgoingBody::new(Bytes::from_static(b"body"), &meter));
-            let mut exchange = Box::pin(exchange(connection, request, &meter));
+            let mut exchange = Box::pin(exchange(&mut connection, request, &meter));
             // Passes the request to the connection's task.
             assert!(std::future::poll_fn(|c| Poll::Ready(exchange.as_mut().poll(c).is_pending())).await);
             assert_eq!(meter.bytes(), 0);
@@ -283,6 +295,7 @@
             }
             assert_eq!(meter.bytes(), 0);
             drop(exchange);
+            drop(connection);
             let mut read = Vec::new();
             // Closed or reset, without any data before.
             let _ = host.read_to_end(&mut read).await;
@@ -300,13 +313,13 @@
                 let repeats = RepeatWindow::new(Some(Duration::from_secs(window)));
                 let [earlier, later] =
                     [0, 1].map(|n| Meter::new(FreshnessGate::default(), repeats.clone(), n));
-                let (connection, _host) = pair().await;
+                let (mut connection, _host) = pair().await;
                 later.record_written(1);
                 if never_ran {
                     repeats.forget_attempt(1);
                 }
                 let request = Request::new(OutgoingBody::new(Bytes::from_static(b"body"), &earlier));
-                let mut exchange = Box::pin(exchange(connection, request, &earlier));
+                let mut exchange = Box::pin(exchange(&mut connection, request, &earlier));
                 let polled =
                     std::future::poll_fn(|c| Poll::Ready(exchange.as_mut().poll(c).is_pending())).await;
                 assert!(polled);
@@ -330,9 +343,9 @@
                 );
                 let meter = Meter::new(fresh, RepeatWindow::default(), 0);
                 meter.record_written(bytes_written);
-                let (connection, _host) = pair().await;
+                let (mut connection, _host) = pair().await;
                 let request = Request::new(OutgoingBody::new(Bytes::from_static(b"body"), &meter));
-                let mut exchange = Box::pin(exchange(connection, request, &meter));
+                let mut exchange = Box::pin(exchange(&mut connection, request, &meter));
                 let polled =
                     std::future::poll_fn(|c| Poll::Ready(exchange.as_mut().poll(c).is_pending())).await;
                 assert!(polled);
@@ -347,10 +360,10 @@
     fn an_attempt_is_fully_written_when_its_last_byte_is_written() {
         run(async {
             for body in ["", "body"] {
-                let (connection, mut host) = pair().await;
+                let (mut connection, mut host) = pair().await;
                 let meter = Meter::default();
                 let request = Request::new(OutgoingBody::new(Bytes::from_static(body.as_bytes()), &meter));
-                let mut exchange = Box::pin(exchange(connection, request, &meter));
+                let mut exchange = Box::pin(exchange(&mut connection, request, &meter));
                 assert!(std::future::poll_fn(|c| Poll::Ready(exchange.as_mut().poll(c).is_pending())).await);
                 assert!(!meter.is_fully_written());
                 yield_now().await;
--- a/engine/src/http1/mod.rs
+++ b/engine/src/http1/mod.rs
@@ -3,6 +3,9 @@
 mod connection;
 mod exchange;
 mod pool;
+mod reuse;
+#[cfg(test)]
+mod reuse_tests;
 
 pub use crate::dial::BoxError;
 pub use exchange::{MAX_BODY_BYTES, MAX_HEAD_BYTES};
@@ -11,16 +14,16 @@
 use crate::meter::Meter;
 use crate::protocol::{AttemptEnd, Connections, Protocol, Target};
 use connection::{Connection, OpenError};
-use exchange::{exchange, OutgoingBody};
+use exchange::{exchange, ExchangeEnd, OutgoingBody};
 use hyper::body::Bytes;
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use hyper::{Method, Request, Response, Uri};
 use nettleworks_policy::{Outcome, ServerId};
-use pool::Pool;
+use pool::{Pool, Reserved};
 use std::cell::RefCell;
 use std::future::Future;
 use std::rc::Rc;
-use tokio::time::Instant;
+use tokio::time::{sleep_until, Instant};
 
 /// Marks a response that replays the response to an earlier request with the same idempotency key.
 const REPLAYED: HeaderName = HeaderName::from_static("idempotency-replayed");
@@ -64,24 +67,30 @@
         count(&mut self.0.borrow_mut().counts);
     }
 
-    /// Runs one attempt, on a reused connection if there is one, else on a new one.
+    /// Reserves an idle connection for a request to the target, which must be written by `deadline`; `None` if a new one
+    /// is to be opened.
+    fn reserve(&self, target: Target, deadline: Instant) -> Option<Reservation> {
+        let Reserved { connection, ready_at } = self.0.borrow_mut().reserve(target, deadline)?;
+        Some(Reservation { http1: self.clone(), target, connection: Some(connection), ready_at })
+    }
+
+    /// Runs one attempt, on the reserved connection if there is one, else on a new one.
     async fn run(
         self,
         target: Target,
-        reused: Option<Connection>,
+        reservation: Option<Reservation>,
         request: Rc<ForwardedRequest>,
         deadline: Instant,
         meter: Meter,
     ) -> AttemptEnd<Response<Bytes>> {
-        if let Some(connection) = reused {
-            let end = exchange(connection, request.for_attempt(deadline, &meter), &meter).await;
-            let broken = end.as_ref().is_none_or(|(end, _)| end.outcome == Outcome::Stale);
-            self.count(|counts| counts.broken_reuse += u64::from(broken));
-            if let Some((end, connection)) = end {
-                connection
-                    .into_iter()
-                    .for_each(|connection| self.0.borrow_mut().put_back(target, connection));
-                return end;
+        if let Some(reservation) = reservation {
+            if let Some(connection) = reservation.settled().await {
+                let end = self.run_on(target, connection, &request, deadline, &meter).await;
+                let broken = end.as_ref().is_none_or(|end| end.outcome == Outcome::Stale);
+                self.count(|counts| counts.broken_reuse += u64::from(broken));
+                if let Some(end) = end {
+                    return end;
+                }
             }
         }
         // Nothing has been written yet, so the request is not sent twice. The future is boxed because most attempts do
@@ -89,6 +98,32 @@
         Box::pin(self.run_on_new(target, request, deadline, meter)).await
     }
 
+    /// Runs one attempt on this connection, which is kept if it can be used again. `None` if nothing could be written.
+    async fn run_on(
+        &self,
+        target: Target,
+        mut connection: Connection,
+        request: &ForwardedRequest,
+        deadline: Instant,
+        meter: &Meter,
+    ) -> Option<AttemptEnd<Response<Bytes>>> {
+        let end = exchange(&mut connection, request.for_attempt(deadline, meter), meter).await;
+        let mut pool = self.0.borrow_mut();
+        pool.record_use(&connection);
+        match end {
+            None => {
+                pool.record_surplus(target, &connection);
+                None
+            }
+            Some(ExchangeEnd { end, reusable }) => {
+                if reusable {
+                    pool.put_back(target, connection);
+                }
+                Some(end)
+            }
+        }
+    }
+
     /// Runs one attempt on a new connection.
     async fn run_on_new(
         self,
@@ -107,18 +142,43 @@
         let opened = Connection::open(target.address, connect_timeout, slot).await;
         self.count(|counts| *if opened.is_ok() { &mut counts.opened } else { &mut counts.open_failed } += 1);
         let end = match opened {
-            Ok(connection) => exchange(connection, request.for_attempt(deadline, &meter), &meter).await,
+            Ok(connection) => self.run_on(target, connection, &request, deadline, &meter).await,
             Err(OpenError::Local) => return AttemptEnd::without_answer(Outcome::NotSent),
             Err(OpenError::Remote) => None,
         };
-        let Some((end, connection)) = end else {
+        end.unwrap_or_else(|| {
             // A connection that was established too late is not the host's failure.
             let too_late = meter.is_past_write_deadline() || meter.list_has_expired();
             let outcome = if too_late { Outcome::NotSent } else { Outcome::NoConnection };
-            return AttemptEnd::without_answer(outcome);
-        };
-        connection.into_iter().for_each(|connection| self.0.borrow_mut().put_back(target, connection));
-        end
+            AttemptEnd::without_answer(outcome)
+        })
+    }
+}
+
+/// An idle connection that is reserved for a request. It goes back to the pool if it is not used.
+struct Reservation {
+    http1: Http1,
+    target: Target,
+    connection: Option<Connection>,
+    ready_at: Instant,
+}
+
+impl Reservation {
+    /// Waits until the connection has settled; `None` if it became unusable meanwhile.
+    async fn settled(mut self) -> Option<Connection> {
+        if Instant::now() < self.ready_at {
+            sleep_until(self.ready_at).await;
+        }
+        // An unusable connection goes back to the pool, which records why.
+        self.connection.take_if(|connection| connection.is_quiet())
+    }
+}
+
+impl Drop for Reservation {
+    fn drop(&mut self) {
+        if let Some(connection) = self.connection.take() {
+            self.http1.0.borrow_mut().put_back(self.target, connection);
+        }
     }
 }
 
@@ -147,9 +207,10 @@
         deadline: Instant,
         meter: &Meter,
     ) -> impl Future<Output = AttemptEnd<Response<Bytes>>> + 'static {
-        let reused = self.0.borrow_mut().take_idle(target);
+        let write_deadline = meter.write_deadline().map_or(deadline, |by| by.min(deadline));
+        let reservation = self.reserve(target, write_deadline);
         // Boxed, because the tasks and timeouts that wrap the future would copy it each time it is moved.
-        Box::pin(self.clone().run(target, reused, request, deadline, meter.clone()))
+        Box::pin(self.clone().run(target, reservation, request, deadline, meter.clone()))
     }
 
     fn host_ready(&self, target: Target) {
--- a/engine/src/http1/pool.rs
+++ b/engine/src/http1/pool.rs
@@ -1,6 +1,7 @@
 //! The open connections to all hosts, and which of them the next request uses.
 
 use super::connection::Connection;
+use super::reuse::{Choice, ReusePolicy};
 use crate::config::Config;
 use crate::protocol::{Connections, Target};
 use crate::quota::{ConnectionPermit, Side};
@@ -14,26 +15,30 @@
 /// Share of the hosts' idle timeout after which an idle connection is no longer used.
 const IDLE_TIMEOUT_SHARE: f64 = 0.9;
 
-/// Idle time after which a connection is preferred for the next request. A faulty host may send a second response some
-/// milliseconds after the first, which would be parsed as the response to the next request on the connection; by this
-/// time it has arrived and is detected.
-const SETTLE_TIME: Duration = Duration::from_millis(10);
-
-/// How many of the connections, in the order of their last use, have been idle for [`SETTLE_TIME`].
-fn settled_count<T>(idle: &[T], idle_since: impl Fn(&T) -> Instant, now: Instant) -> usize {
-    idle.partition_point(|connection| now.saturating_duration_since(idle_since(connection)) >= SETTLE_TIME)
-}
-
-/// The idle connections to a host that takes requests, the most recently used last.
+/// The idle connections to a host that takes requests, in the order in which they became idle.
 struct HostConnections {
     address: SocketAddr,
     idle: Vec<Connection>,
+    reuse: ReusePolicy,
 }
 
 impl HostConnections {
     fn new(address: SocketAddr) -> HostConnections {
-        HostConnections { address, idle: Vec::new() }
+        HostConnections { address, idle: Vec::new(), reuse: ReusePolicy::default() }
     }
+
+    /// Adds an idle connection.
+    fn insert(&mut self, connection: Connection) {
+        let index = self.idle.partition_point(|other| other.idle_since() <= connection.idle_since());
+        self.idle.insert(index, connection);
+    }
+}
+
+/// An idle connection for a request.
+pub struct Reserved {
+    pub connection: Connection,
+    /// The request may be written from this time on.
+    pub ready_at: Instant,
 }
 
 /// The connections to all hosts.
@@ -94,51 +99,68 @@
         self.config.conn_idle.mul_f64(IDLE_TIMEOUT_SHARE)
     }
 
-    /// Takes the idle connection that the next request to the target uses, if there is one.
-    pub fn take_idle(&mut self, target: Target) -> Option<Connection> {
-        let max_idle_time = self.max_idle_time();
+    /// Takes an idle connection for a request to the target, which must be written by `deadline`; `None` if a new one is
+    /// to be opened.
+    pub fn reserve(&mut self, target: Target, deadline: Instant) -> Option<Reserved> {
+        self.close_unusable(target.server);
         let host = self.hosts.get_mut(&target.server).filter(|host| host.address == target.address)?;
-        let settled = settled_count(&host.idle, Connection::idle_since, Instant::now());
-        let mut unsettled = host.idle.split_off(settled);
-        let mut unusable = Vec::new();
-        // Checking a connection makes a system call, so only the one to be used is checked.
-        let mut first_usable = |idle: &mut Vec<Connection>| loop {
-            let connection = idle.pop()?;
-            if connection.idle_time() < max_idle_time && connection.is_ready() {
-                return Some(connection);
+        let now = Instant::now();
+        let idle_since: Vec<Instant> = host.idle.iter().map(Connection::idle_since).collect();
+        match host.reuse.choose(&idle_since, now, deadline) {
+            Choice::Use(index) => Some(Reserved { connection: host.idle.remove(index), ready_at: now }),
+            Choice::Wait { index, until } => {
+                self.counts.settle_waits.record(until - now);
+                Some(Reserved { connection: host.idle.remove(index), ready_at: until })
+            }
+            Choice::Open => {
+                self.counts.opened_unsettled += u64::from(!host.idle.is_empty());
+                None
             }
-            unusable.push(connection);
-        };
-        let found = first_usable(&mut host.idle).or_else(|| first_usable(&mut unsettled));
-        host.idle.append(&mut unsettled);
-        unusable.into_iter().for_each(|connection| self.close(connection));
-        let mut found = found?;
-        found.idle_before_request = Some(found.idle_time());
-        self.counts.reused.record(found.idle_time());
-        Some(found)
+        }
     }
 
-    /// Takes back a connection whose exchange is complete, or closes it if it is unusable or its host takes no more
-    /// requests at that address.
+    /// Takes back a connection whose exchange is complete, or that was not used, or closes it if it is unusable or its
+    /// host takes no more requests at that address.
     pub fn put_back(&mut self, target: Target, connection: Connection) {
         if !connection.is_ready() {
-            return self.close(connection);
+            return self.record_surplus(target, &connection);
         }
         let host = self.hosts.get_mut(&target.server).filter(|host| host.address == target.address);
         if let Some(host) = host {
-            host.idle.push(connection);
+            host.insert(connection);
         }
     }
 
-    /// Closes an idle connection that is not used any more, and counts what came on it since its last response.
-    fn close(&mut self, connection: Connection) {
-        if let Some(delay) = connection.surplus_delay() {
-            self.counts.surplus.record(delay);
-            connection
-                .idle_before_request
-                .into_iter()
-                .for_each(|idle_time| self.counts.surplus_by_idle_time.record(idle_time));
+    /// Records that a request was sent on a connection, or would have been if it had not been broken.
+    pub fn record_use(&mut self, connection: &Connection) {
+        if let Some(idle_time) = connection.idle_before_request {
+            self.counts.reused.record(idle_time);
         }
+        self.counts.early_responses += u64::from(connection.socket.had_early_input());
+    }
+
+    /// Records what came on a connection since its last response, if anything did.
+    pub fn record_surplus(&mut self, target: Target, connection: &Connection) {
+        let Some(delay) = connection.surplus_delay() else { return };
+        self.counts.surplus.record(delay);
+        if let Some(idle_time) = connection.idle_before_request {
+            self.counts.surplus_by_idle_time.record(idle_time);
+        }
+        let host = self.hosts.get_mut(&target.server).filter(|host| host.address == target.address);
+        if let Some(host) = host {
+            host.reuse.record_surplus(delay, Instant::now());
+        }
+    }
+
+    /// Closes the idle connections to a host that are too old, that the host has closed, or on which anything was read.
+    fn close_unusable(&mut self, server: ServerId) {
+        let max_idle_time = self.max_idle_time();
+        let Some(host) = self.hosts.get_mut(&server) else { return };
+        let target = Target { server, address: host.address };
+        let is_unusable =
+            |connection: &mut Connection| connection.idle_time() >= max_idle_time || !connection.is_quiet();
+        let unusable: Vec<Connection> = host.idle.extract_if(.., is_unusable).collect();
+        unusable.iter().for_each(|connection| self.record_surplus(target, connection));
     }
 
     /// A host accepts requests at this address.
@@ -158,14 +180,8 @@
     /// descriptor. If another engine of the process needs connections and has no idle one to close, also closes half of
     /// each host's.
     pub fn sweep(&mut self) {
-        let max_idle_time = self.max_idle_time();
-        let is_kept =
-            |connection: &Connection| connection.idle_time() < max_idle_time && connection.is_ready();
-        let mut unusable = Vec::new();
-        for host in self.hosts.values_mut() {
-            unusable.extend(host.idle.extract_if(.., |connection| !is_kept(connection)));
-        }
-        unusable.into_iter().for_each(|connection| self.close(connection));
+        let servers: Vec<ServerId> = self.hosts.keys().copied().collect();
+        servers.into_iter().for_each(|server| self.close_unusable(server));
         if self.config.quota.take_shortage() {
             self.hosts.values_mut().for_each(|host| drop(host.idle.drain(..host.idle.len().div_ceil(2))));
         }
@@ -177,16 +193,3 @@
         Connections { open: Rc::strong_count(&self.slots) - 1, idle, ..self.counts }
     }
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn a_connection_that_has_just_answered_is_reused_last() {
-        let start = Instant::now();
-        let idle: Vec<_> = [0, 5, 6, 14].map(|ms| start + Duration::from_millis(ms)).into();
-        let at = |ms| settled_count(&idle, |since| *since, start + Duration::from_millis(ms));
-        assert_eq!([at(0), at(9), at(10), at(15), at(16), at(23), at(24)], [0, 0, 1, 2, 3, 3, 4]);
-    }
-}
--- a/engine/src/protocol.rs
+++ b/engine/src/protocol.rs
@@ -55,6 +55,12 @@
     pub broken_reuse: u64,
     /// Attempts that used a kept connection, by how long it had been idle.
     pub reused: DurationHistogram,
+    /// Attempts that waited until a kept connection had settled, by the length of the wait.
+    pub settle_waits: DurationHistogram,
+    /// Attempts that opened a connection although one was idle, as none would have settled soon enough.
+    pub opened_unsettled: u64,
+    /// Responses that began to arrive before their request was fully written, so that they were not its response.
+    pub early_responses: u64,
     /// Kept connections on which a host sent more than the response, by how long after it the surplus came.
     pub surplus: DurationHistogram,
     /// The same connections, by how long they had been idle before their last request. A response that came after that
@@ -70,6 +76,9 @@
         self.open_failed += other.open_failed;
         self.broken_reuse += other.broken_reuse;
         self.reused += other.reused;
+        self.settle_waits += other.settle_waits;
+        self.opened_unsettled += other.opened_unsettled;
+        self.early_responses += other.early_responses;
         self.surplus += other.surplus;
         self.surplus_by_idle_time += other.surplus_by_idle_time;
     }
--- a/engine/src/socket.rs
+++ b/engine/src/socket.rs
@@ -31,6 +31,9 @@
     /// Counts the bytes written for the attempt that uses the connection now, and may forbid writing them.
     meter: RefCell<Meter>,
     bytes_read: Rc<ByteCount>,
+    /// Whether the owner sends requests, to which input is the response.
+    request_begun: Cell<bool>,
+    early_input: Cell<bool>,
     read_count: Cell<u64>,
     write_blocked: Cell<bool>,
     last_read_at: Cell<Instant>,
@@ -48,6 +51,8 @@
             io: RefCell::new(Some(TokioIo::new(ObservedStream::new(stream.into(), bytes_read.clone())))),
             meter: RefCell::default(),
             bytes_read,
+            request_begun: Cell::new(false),
+            early_input: Cell::new(false),
             read_count: Cell::new(0),
             write_blocked: Cell::new(false),
             last_read_at: Cell::new(Instant::now()),
@@ -60,9 +65,17 @@
         self.0.io.borrow_mut().take();
     }
 
-    /// Uses `meter` for all bytes written from now on.
-    pub fn set_meter(&self, meter: &Meter) {
+    /// Begins a request to the peer: uses `meter` for all bytes written from now on, and writes none of them if there is
+    /// any input before, which the peer cannot have sent in response.
+    pub fn begin_request(&self, meter: &Meter) {
         self.0.meter.replace(meter.clone());
+        self.0.request_begun.set(true);
+        self.0.early_input.set(false);
+    }
+
+    /// Whether input was read between the first and the last byte written for the request.
+    pub fn had_early_input(&self) -> bool {
+        self.0.early_input.get()
     }
 
     /// The number of completed reads; a read of the end of the stream counts.
@@ -111,6 +124,8 @@
         if read.is_ready() {
             self.0.read_count.set(self.0.read_count.get() + 1);
             self.0.last_read_at.set(Instant::now());
+            let is_early = self.0.request_begun.get() && !self.0.meter.borrow().is_fully_written();
+            self.0.early_input.set(self.0.early_input.get() || is_early);
         }
         read
     }
@@ -126,7 +141,12 @@
         }
         let write_is_forbidden =
             |meter: &Meter| meter.is_revoked() || meter.is_past_write_deadline() || meter.list_has_expired();
-        let open = io.as_mut().filter(|_| !write_is_forbidden(&self.0.meter.borrow()));
+        let is_first_write = self.0.request_begun.get() && self.0.meter.borrow().bytes() == 0;
+        let must_not_write = |io: &TokioIo<ObservedStream<Rc<ByteCount>>>| {
+            let has_early_input = is_first_write && !io.inner().stream().has_no_pending_input();
+            has_early_input || write_is_forbidden(&self.0.meter.borrow())
+        };
+        let open = io.as_mut().filter(|io| !must_not_write(io));
         let Some(io) = open else { return Poll::Ready(Err(io::ErrorKind::NotConnected.into())) };
         let written = Pin::new(io).poll_write(context, bytes);
         self.0.write_blocked.set(written.is_pending());
--- a/proxy/tests/suite/mod.rs
+++ b/proxy/tests/suite/mod.rs
@@ -5,3 +5,4 @@
 mod discovery;
 mod hosts;
 mod requests;
+mod surplus_input;
--- a/standins/src/host.rs
+++ b/standins/src/host.rs
@@ -20,6 +20,9 @@
 pub enum HostAction {
     /// Writes this text and keeps the connection open.
     Respond(String),
+    /// Writes the first text, and the second after this time, before it reads the next request. A faulty host does so
+    /// while the next request is still on its way.
+    RespondThenAlso(String, Duration, String),
     /// Writes these bytes and keeps the connection open.
     RespondBytes(Vec<u8>),
     /// Writes this text and closes the connection.
@@ -41,7 +44,9 @@
     /// Whether the host runs the request.
     fn runs(&self) -> bool {
         match self {
-            HostAction::Respond(text) | HostAction::RespondAndClose(text) => !text.contains("X-Rejected: 1"),
+            HostAction::Respond(text)
+            | HostAction::RespondThenAlso(text, ..)
+            | HostAction::RespondAndClose(text) => !text.contains("X-Rejected: 1"),
             HostAction::RespondBytes(_)
             | HostAction::RespondInTwoParts(..)
             | HostAction::Stall
@@ -243,6 +248,13 @@
             // The write fails if the client has closed the connection meanwhile.
             let written = match action {
                 HostAction::Respond(text) => write.write_all(text.as_bytes()).await,
+                HostAction::RespondThenAlso(first, delay, second) => {
+                    if write.write_all(first.as_bytes()).await.is_err() {
+                        return;
+                    }
+                    sleep(delay).await;
+                    write.write_all(second.as_bytes()).await
+                }
                 HostAction::RespondBytes(bytes) => write.write_all(&bytes).await,
                 HostAction::RespondInTwoParts(first, rest) => {
                     if write.write_all(first.as_bytes()).await.is_err() {
--- a/standins/src/host_behavior.rs
+++ b/standins/src/host_behavior.rs
@@ -18,6 +18,8 @@
     Reject,
     /// The request runs and its answer is sent twice.
     DuplicateAnswer,
+    /// The request runs and its answer is sent once more, up to this time later.
+    LateDuplicateAnswer(Duration),
     /// The request runs and random bytes are sent in place of an answer.
     GarbledAnswer,
     /// The request runs, and the connection is closed in the middle of its answer.
@@ -107,6 +109,10 @@
                 let HostAction::Respond(text) = self.ok(id) else { unreachable!("ok() responds") };
                 HostAction::Respond(text.repeat(2))
             }
+            Fault::LateDuplicateAnswer(longest) => {
+                let HostAction::Respond(text) = self.ok(id) else { unreachable!("ok() responds") };
+                HostAction::RespondThenAlso(text.clone(), longest.mul_f64(random.uniform()), text)
+            }
             Fault::GarbledAnswer => HostAction::RespondBytes([&random.bytes(48)[..], b"\r\n\r\n"].concat()),
             Fault::TruncatedAnswer => HostAction::RespondAndClose(answer + "x"),
             Fault::Error => HostAction::Respond(
