engine: tests of input that cannot be the response to a request

Need: two checks that came with the settle time had no test of their own: input that is unread when a request is first written, and a response that begins before its request is fully written. Change: a test for each; the tests of exchanges are in a file of their own.

--- a/engine/src/http1/mod.rs
+++ b/engine/src/http1/mod.rs
@@ -2,6 +2,8 @@
 
 mod connection;
 mod exchange;
+#[cfg(test)]
+mod exchange_tests;
 mod pool;
 mod reuse;
 #[cfg(test)]
