proxy: a second response on the operators' socket is not taken for the next page

What operators saw: with a proxy that sends two responses to a request, `keys list` would show the second as the next page of keys. No such proxy was met. Change: input that is there before a request is written is an error. Measured: the new test fails without the check ("0 of 0 keys", a success), and passes with it.

--- a/proxy/src/operator_client.rs
+++ b/proxy/src/operator_client.rs
@@ -30,6 +30,10 @@
     /// Sends one request and returns the value of its response; the proxy's refusal is returned as an error.
     pub fn request(&mut self, request: &Value) -> Result<Value, String> {
         let failed = |error: std::io::Error| format!("the proxy does not answer: {error}");
+        // It would be taken for the response to this request.
+        if !self.0.buffer().is_empty() {
+            return Err("the proxy sent more than one response to a request".to_owned());
+        }
         self.0.get_mut().write_all(format!("{request}\n").as_bytes()).map_err(failed)?;
         let mut line = String::new();
         (&mut self.0).take(MAX_RESPONSE_BYTES).read_line(&mut line).map_err(failed)?;
--- a/proxy/tests/operators.rs
+++ b/proxy/tests/operators.rs
@@ -3,7 +3,7 @@
 use nettleworks_standins::*;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::os::unix::fs::PermissionsExt;
-use std::os::unix::net::UnixStream;
+use std::os::unix::net::{UnixListener, UnixStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Output, Stdio};
 use std::slice::from_ref;
@@ -421,3 +421,26 @@
         }
     });
 }
+
+/// A second response to the request for the first page must not be shown as the second page.
+#[test]
+fn a_second_response_is_not_taken_for_the_next_page_of_keys() {
+    let socket = std::env::temp_dir().join(format!("nettleworks-pages-{}", std::process::id()));
+    let _ = std::fs::remove_file(&socket);
+    let listener = UnixListener::bind(&socket).expect("a socket");
+    let peer = std::thread::spawn(move || {
+        let (stream, _) = listener.accept().expect("accepted");
+        let mut reader = BufReader::new(&stream);
+        reader.read_line(&mut String::new()).expect("the request for the first page");
+        let responses = "{\"ok\": {\"keys\": [], \"next\": 1}}\n{\"ok\": {\"keys\": []}}\n";
+        (&stream).write_all(responses.as_bytes()).expect("written");
+        // The second request, or the end of the stream.
+        let _ = reader.read_line(&mut String::new());
+    });
+    let mut command = Command::new(PROGRAM);
+    let output = command.args(["keys", "list", "--socket"]).arg(&socket).output().expect("the program runs");
+    let (succeeded, text) = outcome(&output);
+    assert!(!succeeded && text.contains("more than one response"), "{text}");
+    peer.join().expect("no panic");
+    let _ = std::fs::remove_file(&socket);
+}
