engine: the wait for a connection to settle is not counted as the server's time

Cause: an attempt's time ran from its decision, so up to 40 ms of this process's own waiting went to the decision module as the server's answer time, which limits take for overload. Change: the meter holds the wait, and the times of outcomes leave it out. No test of its own.

--- a/engine/src/calls/call.rs
+++ b/engine/src/calls/call.rs
@@ -60,13 +60,7 @@
             if let Some(in_flight) =
                 in_flight.take_if(|in_flight| in_flight.meter.bytes() == 0 && unwanted(in_flight))
             {
-                events.push_back(outcome_event(
-                    id,
-                    attempt,
-                    Outcome::NotSent,
-                    in_flight.sent.elapsed(),
-                    closed,
-                ));
+                events.push_back(outcome_event(id, attempt, Outcome::NotSent, in_flight.elapsed(), closed));
             }
         }
     }
@@ -96,6 +90,14 @@
     pub _task: Task,
 }
 
+impl Attempt {
+    /// How long the attempt has taken, without the time for which this process itself held it back: that says nothing of
+    /// the host.
+    pub fn elapsed(&self) -> Duration {
+        self.sent.elapsed().saturating_sub(self.meter.settle_wait())
+    }
+}
+
 impl Drop for Attempt {
     fn drop(&mut self) {
         // The task only ends when it is polled next, and nothing may be written until then.
--- a/engine/src/driver/attempts.rs
+++ b/engine/src/driver/attempts.rs
@@ -145,7 +145,7 @@
             id,
             attempt,
             Outcome::CalledOff,
-            in_flight.sent.elapsed(),
+            in_flight.elapsed(),
             closed,
         ));
         self.context.remove_if_finished(id);
@@ -202,7 +202,7 @@
         }
         let answer = end.answer.take();
         let recipient = answer.as_ref().and_then(|_| call.recipient.take());
-        let (elapsed, closed) = (in_flight.sent.elapsed().as_micros() as Micros, call.recipient.is_none());
+        let (elapsed, closed) = (in_flight.elapsed().as_micros() as Micros, call.recipient.is_none());
         let (mut outcome, load, detached) = (end.outcome, end.load, call.detached);
         if mutant::is_active(Mutant::RetriesWritten) && answer.is_none() {
             outcome = Outcome::NoConnection;
--- a/engine/src/http1/mod.rs
+++ b/engine/src/http1/mod.rs
@@ -86,7 +86,7 @@
         meter: Meter,
     ) -> AttemptEnd<Response<Bytes>> {
         if let Some(reservation) = reservation {
-            if let Some(connection) = reservation.settled().await {
+            if let Some(connection) = reservation.settled(&meter).await {
                 let end = self.run_on(target, connection, &request, deadline, &meter).await;
                 let broken = end.as_ref().is_none_or(|end| end.outcome == Outcome::Stale);
                 self.count(|counts| counts.broken_reuse += u64::from(broken));
@@ -167,9 +167,11 @@
 
 impl Reservation {
     /// Waits until the connection has settled; `None` if it became unusable meanwhile.
-    async fn settled(mut self) -> Option<Connection> {
-        if Instant::now() < self.ready_at {
+    async fn settled(mut self, meter: &Meter) -> Option<Connection> {
+        let started = Instant::now();
+        if started < self.ready_at {
             sleep_until(self.ready_at).await;
+            meter.record_settle_wait(started.elapsed());
         }
         // An unusable connection goes back to the pool, which records why.
         self.connection.take_if(|connection| connection.is_quiet())
--- a/engine/src/interceptor.rs
+++ b/engine/src/interceptor.rs
@@ -306,7 +306,7 @@
                 in_flight.take_if(|in_flight| cancel && !in_flight.meter.is_fully_written())
             {
                 call.may_have_run = true;
-                let elapsed = in_flight.sent.elapsed();
+                let elapsed = in_flight.elapsed();
                 self.events.push_back(outcome_event(id, attempt, Outcome::CalledOff, elapsed, false));
             }
         }
--- a/engine/src/meter.rs
+++ b/engine/src/meter.rs
@@ -131,6 +131,7 @@
     encoded: Cell<bool>,
     fully_written: Cell<bool>,
     revoked: Cell<bool>,
+    settle_wait: Cell<Duration>,
     freshness: FreshnessGate,
     repeat_window: RepeatWindow,
     attempt: u32,
@@ -199,6 +200,16 @@
         self.0.revoked.get()
     }
 
+    /// Records that the attempt has waited this long for its connection to settle.
+    pub fn record_settle_wait(&self, wait: Duration) {
+        self.0.settle_wait.set(wait);
+    }
+
+    /// How long the attempt has waited for its connection to settle.
+    pub fn settle_wait(&self) -> Duration {
+        self.0.settle_wait.get()
+    }
+
     /// Whether the whole request is written.
     pub fn is_fully_written(&self) -> bool {
         self.0.fully_written.get()
