cores: an unused probe permission is not acquired again in an endless loop

What callers saw: with several engines an engine's thread ran for a second and more without serving, and its calls timed out or waited too long (no_engine_of_a_process_uses_an_expired_list: 4 of 349 requests failed). Cause: with a shared limit that is full the decision module leaves a queued call where it is and does not use the permission that GroupMember acquired for it; it was released, acquired again, and so on within one call of Handle::process, until time freed the limit. Change: after an unused permission none is acquired for 5 ms. No test of its own: the one named shows it.

--- a/shards/cores/src/member.rs
+++ b/shards/cores/src/member.rs
@@ -27,6 +27,18 @@
 /// Number of hosts at which an idle shard keeps idle capacity.
 const KEPT_CHOICES: usize = 2;
 
+/// Time until a probe permission is acquired again after the decision module has not used one. Without it an engine
+/// would acquire and release the same permission in an endless loop.
+const PROBE_RETRY_DELAY: Micros = 5_000;
+
+/// The probe permission for a host.
+#[derive(Clone, Copy)]
+struct HeldProbe {
+    server: ServerId,
+    /// The decision module has sent a probe request with it.
+    used: bool,
+}
+
 /// A shard's state for a host.
 struct KnownHost {
     name: Arc<str>,
@@ -74,7 +86,9 @@
     /// The servers at which this shard waits for capacity.
     waiting: BTreeSet<ServerId>,
     /// The servers at which this shard holds the probe permission.
-    probes: Vec<ServerId>,
+    probes: Vec<HeldProbe>,
+    /// Until then no probe permission is acquired, as the decision module has not used the last one.
+    no_probes_until: Micros,
     /// Changed allocations, which the decision module receives in one event.
     allocations: Vec<policy::Allocation>,
     woken: bool,
@@ -99,6 +113,7 @@
             new_hosts: Vec::new(),
             waiting: BTreeSet::new(),
             probes: Vec::new(),
+            no_probes_until: 0,
             allocations: Vec::new(),
             woken: false,
             ticked: false,
@@ -186,11 +201,12 @@
             }
         }
         demands.iter().for_each(|demand| self.update_module(demand.server));
-        for demand in demands.iter().filter(|demand| demand.probe) {
+        let may_probe = now >= self.no_probes_until;
+        for demand in demands.iter().filter(|demand| demand.probe && may_probe) {
             let Some(known) = self.hosts.get(&demand.server) else { continue };
             if need > 0 && known.capacity.acquire_probe(self.me) {
                 need -= 1;
-                self.probes.push(demand.server);
+                self.probes.push(HeldProbe { server: demand.server, used: false });
                 self.update_module(demand.server);
             }
         }
@@ -224,14 +240,18 @@
     }
 
     /// Returns the probe permissions that no call uses.
-    fn release_probes(&mut self, balancer: &Balancer) {
-        for server in std::mem::take(&mut self.probes) {
+    fn release_probes(&mut self, now: Micros, balancer: &Balancer) {
+        for HeldProbe { server, used } in std::mem::take(&mut self.probes) {
             let Some(known) = self.hosts.get(&server) else { continue };
+            let used = used || balancer.is_probing(server);
             if balancer.is_probing(server)
                 || !known.capacity.release_probe(self.me) && known.capacity.allocation(self.me).probe
             {
-                self.probes.push(server);
+                self.probes.push(HeldProbe { server, used });
             } else {
+                if !used {
+                    self.no_probes_until = now + PROBE_RETRY_DELAY;
+                }
                 self.update_module(server);
             }
         }
@@ -377,7 +397,7 @@
         self.processed = ended;
         self.processed.append(&mut self.new_hosts);
         if !self.probes.is_empty() {
-            self.release_probes(balancer);
+            self.release_probes(now, balancer);
         }
         if self.woken || self.ticked {
             self.review_hosts(now, balancer);
@@ -405,7 +425,7 @@
     fn remove_host(&mut self, server: ServerId) {
         let Some(known) = self.hosts.remove(&server) else { return };
         self.waiting.remove(&server);
-        self.probes.retain(|&held| held != server);
+        self.probes.retain(|held| held.server != server);
         known.capacity.stop_waiting(self.me);
         known.capacity.release_probe(self.me);
         self.shared.wake(known.capacity.set_limit(self.me, 0.0) | known.capacity.release_idle(self.me, 0));
