--- a/review/stand-2/stand.py
+++ b/review/stand-2/stand.py
@@ -25,11 +25,10 @@
 
 
 class Record:
-    """What was sent, answered and run: one line an event, with the time since the start. `quiet` leaves out the
-    requests at hosts."""
+    """What was sent, answered and run: one line an event, with the time since the start."""
 
     def __init__(self, path):
-        self.start, self.path, self.lines, self.quiet = now(), path, [], False
+        self.start, self.path, self.lines = now(), path, []
 
     def add(self, text):
         self.lines.append(f"{now() - self.start:9.4f} {text}")
@@ -115,8 +114,7 @@
                     await self.write(writer, "404 Not Found", b"")
                     continue
                 self.received.append((now(), call, first.split(" ")[0], headers.get("idempotency-key")))
-                if not self.record.quiet:
-                    self.record.add(f"host {self.name} got {call} budget={headers.get('x-budget-ms')}")
+                self.record.add(f"host {self.name} got {call} budget={headers.get('x-budget-ms')}")
                 self.held += 1
                 try:
                     if self.act is not None:
