http1: limits, outgoing body, slot, load report and outcome in files of their own

Need: connection.rs took MAX_HEAD_BYTES and OutgoingBody from exchange.rs and Slot from pool.rs, which both take Connection, so the three files depended on each other in a circle. What decides where a message ends is to go below them.

Change: limits.rs, outgoing_body.rs, slot.rs, load_report.rs (with its tests) and outcome.rs, moved without a change of behaviour. connection.rs depends on neither exchange.rs nor pool.rs any more.

--- a/engine/src/http1/connection.rs
+++ b/engine/src/http1/connection.rs
@@ -1,7 +1,8 @@
 //! A single connection to a host.
 
-use super::exchange::{OutgoingBody, MAX_HEAD_BYTES};
-use super::pool::Slot;
+use super::limits::MAX_HEAD_BYTES;
+use super::outgoing_body::OutgoingBody;
+use super::slot::Slot;
 use crate::dial::{dial, DialError};
 use crate::meter::Meter;
 use crate::socket::Socket;
--- a/engine/src/http1/exchange_tests.rs
+++ b/engine/src/http1/exchange_tests.rs
@@ -1,8 +1,9 @@
 //! Tests of exchanges on a connection to a peer that each test plays itself.
 
 use super::connection::Connection;
-use super::exchange::{exchange, OutgoingBody};
-use super::pool::Slot;
+use super::exchange::exchange;
+use super::outgoing_body::OutgoingBody;
+use super::slot::Slot;
 use crate::meter::{FreshnessGate, Meter, RepeatWindow};
 use hyper::body::Bytes;
 use hyper::Request;
--- a/engine/src/http1/mod.rs
+++ b/engine/src/http1/mod.rs
@@ -4,23 +4,29 @@
 mod exchange;
 #[cfg(test)]
 mod exchange_tests;
+mod limits;
+mod load_report;
+mod outcome;
+mod outgoing_body;
 mod pool;
 mod reuse;
 #[cfg(test)]
 mod reuse_tests;
+mod slot;
 
 pub use crate::dial::BoxError;
-pub use exchange::{MAX_BODY_BYTES, MAX_HEAD_BYTES};
+pub use limits::{MAX_BODY_BYTES, MAX_HEAD_BYTES};
 
 use crate::config::Config;
 use crate::meter::Meter;
 use crate::protocol::{AttemptEnd, Connections, Protocol, Target};
 use connection::{Connection, OpenError};
-use exchange::{exchange, ExchangeEnd, OutgoingBody};
+use exchange::{exchange, ExchangeEnd};
 use hyper::body::Bytes;
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use hyper::{Method, Request, Response, Uri};
 use nettleworks_policy::{Outcome, ServerId};
+use outgoing_body::OutgoingBody;
 use pool::{Pool, Reserved};
 use std::cell::RefCell;
 use std::future::Future;
--- a/engine/src/http1/pool.rs
+++ b/engine/src/http1/pool.rs
@@ -2,9 +2,10 @@
 
 use super::connection::Connection;
 use super::reuse::{Choice, ReusePolicy};
+use super::slot::Slot;
 use crate::config::Config;
 use crate::protocol::{Connections, Target};
-use crate::quota::{ConnectionPermit, Side};
+use crate::quota::Side;
 use nettleworks_policy::ServerId;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -51,21 +52,6 @@
     pub counts: Connections,
 }
 
-/// Counts one open connection for its engine and for the process.
-#[derive(Debug)]
-pub struct Slot {
-    _engine_count: Rc<()>,
-    _permit: ConnectionPermit,
-}
-
-#[cfg(test)]
-impl Slot {
-    pub fn for_test() -> Slot {
-        let permit = crate::quota::Quota::default().acquire(Side::Hosts, 1);
-        Slot { _engine_count: Rc::default(), _permit: permit.expect("none is open") }
-    }
-}
-
 impl Pool {
     /// A pool without connections.
     pub fn new(config: &Rc<Config>) -> Pool {
@@ -91,7 +77,7 @@
             drop(host.idle.remove(0));
             self.config.quota.acquire(Side::Hosts, max)
         });
-        Some(Slot { _engine_count: self.slots.clone(), _permit: permit? })
+        Some(Slot::new(&self.slots, permit?))
     }
 
     /// Idle time from which on a connection is not used any more, since its host may close it at any moment.
