http1: a response whose length is too short is not an answer

By the same cause a rejection with such a length let a charge be sent to a second host, and a 200 with another transfer coding than chunked was served coded.

Cause: the exchange took the end that a length states for the end of the response. The bytes behind it were in hu hand, in hyper's read buffer or in the socket, but only told whether the connection could be kept.

Change: response_end.rs, without I/O, decides by RFC 9112, section 6.3, what ends a body, and whether the bytes behind it put that end in doubt: another status line does not, an end by the last chunk or the head cannot be, anything else behind a body that its length ends is. Then the attempt has failed and may have run, whatever its status. Two different responses in hand on a used connection are in doubt both. The connection's task leaves what hyper has not used; the one look at the socket that each response had before decides whether more is read. Two counts tell the kinds apart.

Why it works: the evidence is complete at that moment for whatever the host wrote in one piece, whichever read brings it (tests over sizes around hyper's buffer). A rest in a later write is not seen, see docs/design.md.

--- a/engine/src/http1/connection.rs
+++ b/engine/src/http1/connection.rs
@@ -2,15 +2,24 @@
 
 use super::limits::MAX_HEAD_BYTES;
 use super::outgoing_body::OutgoingBody;
+use super::response_end::Surplus;
 use super::slot::Slot;
 use crate::dial::{dial, DialError};
 use crate::meter::Meter;
 use crate::socket::Socket;
 use crate::task::{spawn, Task};
+use hyper::body::Bytes;
 use hyper::client::conn::http1::{self, SendRequest};
+use std::cell::RefCell;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::Instant;
+use tokio::time::{timeout, Instant};
+
+/// Timeout for reading what the host has begun to send behind a response.
+const SURPLUS_TIMEOUT: Duration = Duration::from_millis(20);
+/// Size of the reads of what the host has sent behind a response.
+const SURPLUS_READ_BYTES: usize = 1 << 10;
 
 /// Why a connection to a host was not established.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -39,7 +48,9 @@
     last_response: LastResponse,
     /// How long the connection had been idle when the last request was sent on it; `None` for its first request.
     pub(super) idle_before_request: Option<Duration>,
-    _task: Task,
+    /// What the connection's task had read and not used when it ended; empty before.
+    unused_input: Rc<RefCell<Bytes>>,
+    task: Task,
     _slot: Slot,
 }
 
@@ -71,13 +82,15 @@
         let builder = http1::Builder::new().max_buf_size(MAX_HEAD_BYTES).handshake(socket.clone());
         let (sender, connection) = builder.await.map_err(|_| OpenError::Remote)?;
         let last_response = LastResponse { at: Instant::now(), bytes_read: 0 };
+        let unused_input = Rc::<RefCell<Bytes>>::default();
         Ok(Connection {
             sender,
             socket,
             reads_at_response: 0,
             last_response,
             idle_before_request: None,
-            _task: spawn(connection),
+            task: spawn(run(connection, unused_input.clone())),
+            unused_input,
             _slot: slot,
         })
     }
@@ -88,6 +101,26 @@
         self.last_response = LastResponse { at: Instant::now(), bytes_read: self.socket.bytes_read() };
     }
 
+    /// Whether a response has been received on the connection.
+    pub fn is_reused(&self) -> bool {
+        self.reads_at_response > 0
+    }
+
+    /// The bytes in hand behind the last response, which is complete. Waits for more only where the first ones may become
+    /// a status line. If there is any input, the connection cannot be used again.
+    pub async fn read_surplus(&mut self) -> Vec<u8> {
+        let mut surplus = self.unused_input.take().to_vec();
+        let is_known = match Surplus::of(&surplus) {
+            Surplus::None => self.socket.has_no_pending_input(),
+            known => known.is_final(),
+        };
+        if !is_known {
+            self.task.abort();
+            let _ = timeout(SURPLUS_TIMEOUT, read_until_known(&self.socket, &mut surplus)).await;
+        }
+        surplus
+    }
+
     /// Since when the connection is idle.
     pub fn idle_since(&self) -> Instant {
         self.last_response.at
@@ -125,3 +158,21 @@
         self.is_quiet() && self.socket.has_no_pending_input()
     }
 }
+
+/// Runs a connection to its end, and keeps the input that it did not use.
+async fn run(mut connection: http1::Connection<Socket, OutgoingBody>, unused_input: Rc<RefCell<Bytes>>) {
+    // The owner of the connection learns of an error from its request.
+    let _ = (&mut connection).await;
+    unused_input.replace(connection.into_parts().read_buf);
+}
+
+/// Reads until the bytes behind a response can be classified, or there are no more.
+async fn read_until_known(socket: &Socket, surplus: &mut Vec<u8>) {
+    let mut buffer = [0; SURPLUS_READ_BYTES];
+    while !Surplus::of(surplus).is_final() {
+        match socket.read(&mut buffer).await {
+            Ok(0) | Err(_) => return,
+            Ok(count) => surplus.extend_from_slice(&buffer[..count]),
+        }
+    }
+}
--- a/engine/src/http1/exchange.rs
+++ b/engine/src/http1/exchange.rs
@@ -5,14 +5,15 @@
 use super::load_report::load_report;
 use super::outcome::{outcome_of_error, outcome_of_status};
 use super::outgoing_body::OutgoingBody;
+use super::response_end::{is_contradicted, BodyEnd, Surplus};
 use crate::meter::Meter;
 use crate::protocol::AttemptEnd;
 use http::response::Parts;
 use http_body_util::{BodyExt, Limited};
-use hyper::body::Bytes;
-use hyper::header::{self, HeaderMap, HeaderValue};
-use hyper::{Request, Response, StatusCode};
-use nettleworks_policy::Outcome;
+use hyper::body::{Bytes, Incoming};
+use hyper::header::HeaderValue;
+use hyper::{Method, Request, Response};
+use nettleworks_policy::{Load, Outcome};
 use std::time::Duration;
 use tokio::task::yield_now;
 use tokio::time::{timeout, Instant};
@@ -33,6 +34,16 @@
     pub end: AttemptEnd<Response<Bytes>>,
     /// Whether the exchange is complete, so that the connection can be used again unless it breaks meanwhile.
     pub reusable: bool,
+    /// What was in hand behind the response.
+    pub surplus: Surplus,
+}
+
+impl ExchangeEnd {
+    /// The end of an exchange that left its connection unusable.
+    fn broken(outcome: Outcome, load: Load) -> ExchangeEnd {
+        let end = AttemptEnd { outcome, load, answer: None };
+        ExchangeEnd { end, reusable: false, surplus: Surplus::None }
+    }
 }
 
 /// Sends a request on a connection and reads the whole response. Returns `None` if the connection turned out to be
@@ -43,7 +54,7 @@
     meter: &Meter,
 ) -> Option<ExchangeEnd> {
     connection.begin_request(meter);
-    let (reused, started) = (connection.reads_at_response > 0, Instant::now());
+    let (reused, method, started) = (connection.is_reused(), request.method().clone(), Instant::now());
     let response = match connection.sender.send_request(request).await {
         Ok(response) => response,
         Err(_) if meter.bytes() == 0 => return None,
@@ -53,38 +64,59 @@
             let outcome = outcome_of_error(&error);
             let stale = outcome == Outcome::Reset && unanswered && started.elapsed() < STALE_CLOSE_WINDOW;
             let outcome = if stale { Outcome::Stale } else { outcome };
-            return Some(ExchangeEnd { end: AttemptEnd::without_answer(outcome), reusable: false });
+            return Some(ExchangeEnd::broken(outcome, Load::default()));
         }
     };
     if connection.socket.had_early_input() {
         // It is no response to this request, which may have run all the same.
-        return Some(ExchangeEnd { end: AttemptEnd::without_answer(Outcome::Unknown), reusable: false });
+        return Some(ExchangeEnd::broken(Outcome::Unknown, Load::default()));
     }
+    Some(receive(connection, response, &method, reused).await)
+}
+
+/// Reads the rest of the response to a request with this method, and decides what it proves.
+async fn receive(
+    connection: &mut Connection,
+    response: Response<Incoming>,
+    method: &Method,
+    reused: bool,
+) -> ExchangeEnd {
     let (head, body) = response.into_parts();
     let load = load_report(&head.headers);
+    let body_end = BodyEnd::of_response(method, head.status, &head.headers);
+    let stated_outcome = outcome_of_status(head.status, &head.headers);
     let body = Limited::new(body, MAX_BODY_BYTES).collect();
-    let (outcome, answer, complete) = if head.status != StatusCode::OK {
-        // The outcome is known: a body that breaks or stalls must not change it.
-        let complete = matches!(timeout(DISCARD_TIMEOUT, body).await, Ok(Ok(_)));
-        (outcome_of_status(head.status, &head.headers), None, complete)
-    } else if !is_framed(&head.headers) {
-        (Outcome::Unknown, None, false)
-    } else {
+    let response = if stated_outcome == Outcome::Served {
+        if !body_end.is_stated() {
+            return ExchangeEnd::broken(Outcome::Unknown, load);
+        }
         match body.await {
-            Ok(body) => (Outcome::Served, Some(detach_from_read_buffer(head, body.to_bytes())), true),
+            Ok(body) => detach_from_read_buffer(head, body.to_bytes()),
             // The request has run, but its response is lost.
-            Err(error) => (outcome_of_error(&*error), None, false),
+            Err(error) => return ExchangeEnd::broken(outcome_of_error(&*error), load),
+        }
+    } else {
+        match timeout(DISCARD_TIMEOUT, body).await {
+            Ok(Ok(_)) => Response::default(),
+            // The outcome is known: a body that breaks or stalls must not change it.
+            _ => return ExchangeEnd::broken(stated_outcome, load),
         }
     };
+    connection.record_response();
     // Make the connection ready before the outcome is reported, or the next request would find no idle connection.
-    let reusable =
-        complete && matches!(timeout(DISCARD_TIMEOUT, connection.sender.ready()).await, Ok(Ok(())));
-    if reusable {
-        connection.record_response();
+    let is_ready = matches!(timeout(DISCARD_TIMEOUT, connection.sender.ready()).await, Ok(Ok(())));
+    if is_ready {
         // The connection's task detects bytes beyond the response only when it is polled once more.
         yield_now().await;
     }
-    Some(ExchangeEnd { end: AttemptEnd { outcome, load, answer }, reusable })
+    let surplus_bytes = connection.read_surplus().await;
+    let surplus = Surplus::of(&surplus_bytes);
+    let is_doubtful = body_end.may_be_early(surplus)
+        || reused && is_contradicted(stated_outcome, response.body(), &surplus_bytes);
+    let outcome = if is_doubtful { Outcome::Unknown } else { stated_outcome };
+    let answer = (outcome == Outcome::Served).then_some(response);
+    let reusable = is_ready && surplus == Surplus::None && connection.is_quiet();
+    ExchangeEnd { end: AttemptEnd { outcome, load, answer }, reusable, surplus }
 }
 
 /// Copies a response out of the read buffer of its connection. Otherwise whoever keeps a few bytes of the response
@@ -101,10 +133,3 @@
     }
     Response::from_parts(head, Bytes::copy_from_slice(&body))
 }
-
-/// Whether the head delimits the body unambiguously. Several lengths or both framings are ambiguous, and a body that
-/// lasts until the connection closes may have been truncated.
-fn is_framed(headers: &HeaderMap) -> bool {
-    let count = |name| headers.get_all(name).iter().count();
-    matches!((count(header::CONTENT_LENGTH), count(header::TRANSFER_ENCODING)), (1, 0) | (0, 1))
-}
--- a/engine/src/http1/exchange_tests.rs
+++ b/engine/src/http1/exchange_tests.rs
@@ -1,12 +1,13 @@
 //! Tests of exchanges on a connection to a peer that each test plays itself.
 
 use super::connection::Connection;
-use super::exchange::exchange;
+use super::exchange::{exchange, ExchangeEnd};
 use super::outgoing_body::OutgoingBody;
+use super::response_end::Surplus;
 use super::slot::Slot;
 use crate::meter::{FreshnessGate, Meter, RepeatWindow};
 use hyper::body::Bytes;
-use hyper::Request;
+use hyper::{Method, Request};
 use nettleworks_policy::Outcome;
 use std::future::Future;
 use std::task::Poll;
@@ -14,7 +15,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::{yield_now, LocalSet};
-use tokio::time::Instant;
+use tokio::time::{sleep, Instant};
 
 fn run<T>(test: impl Future<Output = T>) -> T {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
@@ -165,3 +166,152 @@
         assert!(!read.is_ok_and(|bytes| bytes > 0), "nothing is sent");
     });
 }
+
+/// A 200 response whose length is this much shorter than its body.
+fn response_with_short_length(body: &str, missing: usize) -> String {
+    format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len() - missing)
+}
+
+fn response(body: &str) -> String {
+    response_with_short_length(body, 0)
+}
+
+const REJECTION: &str = "HTTP/1.1 503 Service Unavailable\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n";
+const CHUNKED_HEAD: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+/// Sends a request on a connection, of which the host writes these parts of a response, 3 ms apart.
+async fn exchange_parts(
+    connection: &mut Connection,
+    host: &mut TcpStream,
+    method: Method,
+    parts: &[&str],
+) -> ExchangeEnd {
+    let meter = Meter::default();
+    let mut request = Request::new(OutgoingBody::new(Bytes::from_static(b"body"), &meter));
+    *request.method_mut() = method;
+    let host_side = async {
+        assert!(host.read(&mut [0; 1_024]).await.is_ok_and(|count| count > 0), "the request comes");
+        for (number, part) in parts.iter().enumerate() {
+            if number > 0 {
+                sleep(Duration::from_millis(3)).await;
+            }
+            host.write_all(part.as_bytes()).await.expect("written");
+        }
+    };
+    let (end, ()) = tokio::join!(exchange(connection, request, &meter), host_side);
+    end.expect("a request was written")
+}
+
+/// As [`exchange_parts`], with a POST on a new connection. Returns the outcome, the body of the answer, and whether the
+/// connection can be used again.
+async fn first_exchange(parts: &[&str]) -> (Outcome, Option<Bytes>, bool) {
+    let (mut connection, mut host) = pair().await;
+    let end = exchange_parts(&mut connection, &mut host, Method::POST, parts).await;
+    (end.end.outcome, end.end.answer.map(hyper::Response::into_body), end.reusable)
+}
+
+/// Clients were served with answers that lacked their end, as the host stated a length that was too short: the rest of
+/// the body was in hand when the answer was passed on. The end of the body and the rest fall into different reads for
+/// some of the sizes.
+#[test]
+fn a_response_whose_length_is_too_short_is_not_an_answer() {
+    const READ_BYTES: usize = 8 << 10;
+    let sizes = [9, 54, 20_000, 30_000, 40_000, 64_000].into_iter().chain(READ_BYTES - 80..READ_BYTES + 8);
+    run(async {
+        for size in sizes {
+            for missing in [1, 8, 9.min(size)] {
+                let short = response_with_short_length(&"x".repeat(size), missing);
+                let end = first_exchange(&[&short]).await;
+                assert_eq!(end, (Outcome::Unknown, None, false), "{size} {missing}");
+            }
+        }
+    });
+}
+
+/// The other way round, so that no good answer is lost: a second copy, whichever part of it each read brings.
+#[test]
+fn a_response_with_a_copy_behind_it_is_an_answer() {
+    const READ_BYTES: usize = 8 << 10;
+    let sizes = [0, 1, 54, 5_000, 20_000, 40_000, 64_000].into_iter().chain(READ_BYTES - 80..READ_BYTES + 8);
+    run(async {
+        for size in sizes {
+            let body = "x".repeat(size);
+            let twice = response(&body).repeat(2);
+            assert_eq!(
+                first_exchange(&[&twice]).await,
+                (Outcome::Served, Some(body.into()), false),
+                "{size}"
+            );
+        }
+    });
+}
+
+/// What the bytes behind a response prove, by what ends it.
+#[test]
+fn bytes_behind_a_response_put_its_end_in_doubt_only_if_its_length_is_all_that_tells() {
+    let served = response("whole");
+    let chunked = format!("{CHUNKED_HEAD}5\r\nwhole\r\n0\r\n\r\n");
+    let closing = "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 5\r\n\r\nwhole";
+    let error = "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 2\r\n\r\nno";
+    let (noise, whole) = ("\u{1}noise\r\n\r\n", || Some(Bytes::from_static(b"whole")));
+    run(async {
+        for (parts, outcome, answer, reusable) in [
+            (vec![served.clone()], Outcome::Served, whole(), true),
+            (vec![format!("{served}{noise}")], Outcome::Unknown, None, false),
+            (vec![format!("{served}\r\n")], Outcome::Unknown, None, false),
+            (vec![format!("{served}HTTP/1.1")], Outcome::Unknown, None, false),
+            (vec![format!("{served}HTTP/1.1"), " 2xx".to_owned()], Outcome::Unknown, None, false),
+            (vec![format!("{served}HTTP/1.1"), " 200 OK\r\n".to_owned()], Outcome::Served, whole(), false),
+            (vec![format!("{served}{error}")], Outcome::Served, whole(), false),
+            (vec![chunked.clone()], Outcome::Served, whole(), true),
+            (vec![format!("{chunked}{noise}")], Outcome::Served, whole(), false),
+            (vec![chunked.repeat(2)], Outcome::Served, whole(), false),
+            (vec![closing.to_owned()], Outcome::Served, whole(), false),
+            (vec![format!("{closing}{noise}")], Outcome::Unknown, None, false),
+            (vec![closing.repeat(2)], Outcome::Served, whole(), false),
+            (vec![format!("{}whole", response(""))], Outcome::Unknown, None, false),
+            // What is not whole may not prove that its request never ran either.
+            (vec![REJECTION.to_owned()], Outcome::TurnedAway, None, true),
+            (vec![REJECTION.repeat(2)], Outcome::TurnedAway, None, false),
+            (vec![format!("{REJECTION}{noise}")], Outcome::Unknown, None, false),
+            (vec![error.to_owned()], Outcome::Error, None, true),
+            (vec![format!("{error}{noise}")], Outcome::Unknown, None, false),
+            (
+                vec![format!("{CHUNKED_HEAD}5\r\nwhole\r\n0\r\n\r\n").replace("chunked", "gzip")],
+                Outcome::Unknown,
+                None,
+                false,
+            ),
+        ] {
+            let texts: Vec<&str> = parts.iter().map(String::as_str).collect();
+            assert_eq!(first_exchange(&texts).await, (outcome, answer, reusable), "{parts:?}");
+        }
+        let (mut connection, mut host) = pair().await;
+        let end = exchange_parts(&mut connection, &mut host, Method::HEAD, &[&served]).await;
+        assert_eq!((end.end.outcome, end.reusable, end.surplus), (Outcome::Served, false, Surplus::Other));
+    });
+}
+
+/// On a connection that was used before, the first of two responses may be a late one to the request before. If they
+/// differ, neither is passed on, and a rejection does not let the request be sent again.
+#[test]
+fn a_response_contradicted_by_the_one_behind_it_proves_nothing_on_a_reused_connection() {
+    let (first, second) = (response("first"), response("second"));
+    run(async {
+        for (text, outcome, body) in [
+            (first.clone(), Outcome::Served, Some("first")),
+            (first.repeat(2), Outcome::Served, Some("first")),
+            (format!("{first}{second}"), Outcome::Unknown, None),
+            (format!("{first}{REJECTION}"), Outcome::Unknown, None),
+            (format!("{REJECTION}{first}"), Outcome::Unknown, None),
+            (REJECTION.repeat(2), Outcome::TurnedAway, None),
+        ] {
+            let (mut connection, mut host) = pair().await;
+            let end = exchange_parts(&mut connection, &mut host, Method::POST, &[&first]).await;
+            assert_eq!((end.end.outcome, end.reusable), (Outcome::Served, true));
+            let end = exchange_parts(&mut connection, &mut host, Method::POST, &[&text]).await;
+            let answer = end.end.answer.map(hyper::Response::into_body);
+            assert_eq!((end.end.outcome, answer), (outcome, body.map(Bytes::from)), "{text:?}");
+        }
+    });
+}
--- a/engine/src/http1/mod.rs
+++ b/engine/src/http1/mod.rs
@@ -9,6 +9,9 @@
 mod outcome;
 mod outgoing_body;
 mod pool;
+mod response_end;
+#[cfg(test)]
+mod response_end_tests;
 mod reuse;
 #[cfg(test)]
 mod reuse_tests;
@@ -28,6 +31,7 @@
 use nettleworks_policy::{Outcome, ServerId};
 use outgoing_body::OutgoingBody;
 use pool::{Pool, Reserved};
+use response_end::Surplus;
 use std::cell::RefCell;
 use std::future::Future;
 use std::rc::Rc;
@@ -123,9 +127,12 @@
                 pool.record_surplus(target, &connection);
                 None
             }
-            Some(ExchangeEnd { end, reusable }) => {
+            Some(ExchangeEnd { end, reusable, surplus }) => {
+                pool.count_surplus(surplus);
                 if reusable {
-                    pool.put_back(target, connection);
+                    pool.keep(target, connection);
+                } else if surplus != Surplus::None {
+                    pool.record_surplus(target, &connection);
                 }
                 Some(end)
             }
--- a/engine/src/http1/outcome.rs
+++ b/engine/src/http1/outcome.rs
@@ -24,10 +24,11 @@
     }
 }
 
-/// The outcome of a response with a status other than 200.
+/// The outcome of a response with this status, if it is whole.
 pub fn outcome_of_status(status: StatusCode, headers: &HeaderMap) -> Outcome {
     let not_processed = headers.get("x-rejected").is_some_and(|v| v == "1");
     match status {
+        StatusCode::OK => Outcome::Served,
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if not_processed => Outcome::TurnedAway,
         StatusCode::INTERNAL_SERVER_ERROR => Outcome::Error,
         // The request is at fault: faulty clients must not make healthy hosts look unhealthy.
--- a/engine/src/http1/pool.rs
+++ b/engine/src/http1/pool.rs
@@ -1,6 +1,7 @@
 //! The open connections to all hosts, and which of them the next request uses.
 
 use super::connection::Connection;
+use super::response_end::Surplus;
 use super::reuse::{Choice, ReusePolicy};
 use super::slot::Slot;
 use crate::config::Config;
@@ -104,12 +105,18 @@
         }
     }
 
-    /// Takes back a connection whose exchange is complete, or that was not used, or closes it if it is unusable or its
-    /// host takes no more requests at that address.
+    /// Takes back a reserved connection that was not used, or closes it if it is unusable.
     pub fn put_back(&mut self, target: Target, connection: Connection) {
-        if !connection.is_ready() {
-            return self.record_surplus(target, &connection);
+        if connection.is_ready() {
+            self.keep(target, connection);
+        } else {
+            self.record_surplus(target, &connection);
         }
+    }
+
+    /// Keeps a connection that is ready for the next request, or closes it if its host takes no more requests at that
+    /// address.
+    pub fn keep(&mut self, target: Target, connection: Connection) {
         let host = self.hosts.get_mut(&target.server).filter(|host| host.address == target.address);
         if let Some(host) = host {
             host.insert(connection);
@@ -124,6 +131,15 @@
         self.counts.early_responses += u64::from(connection.socket.had_early_input());
     }
 
+    /// Counts a response by what was in hand behind it.
+    pub fn count_surplus(&mut self, surplus: Surplus) {
+        match surplus {
+            Surplus::None => {}
+            Surplus::Response => self.counts.followed_by_response += 1,
+            Surplus::Undecided | Surplus::Other => self.counts.followed_by_other += 1,
+        }
+    }
+
     /// Records what came on a connection since its last response, if anything did.
     pub fn record_surplus(&mut self, target: Target, connection: &Connection) {
         let Some(delay) = connection.surplus_delay() else { return };
--- a/engine/src/protocol.rs
+++ b/engine/src/protocol.rs
@@ -61,6 +61,11 @@
     pub opened_unsettled: u64,
     /// Responses that began to arrive before their request was fully written, so that they were not its response.
     pub early_responses: u64,
+    /// Responses with another response in hand behind them, such as a second copy.
+    pub followed_by_response: u64,
+    /// Responses with bytes in hand behind them that begin no response. Where the body is delimited by its length, it
+    /// may have been cut, and the response is not passed on.
+    pub followed_by_other: u64,
     /// Kept connections on which a host sent more than the response, by how long after it the surplus came.
     pub surplus: DurationHistogram,
     /// The same connections, by how long they had been idle before their last request. A response that came after that
@@ -79,6 +84,8 @@
         self.settle_waits += other.settle_waits;
         self.opened_unsettled += other.opened_unsettled;
         self.early_responses += other.early_responses;
+        self.followed_by_response += other.followed_by_response;
+        self.followed_by_other += other.followed_by_other;
         self.surplus += other.surplus;
         self.surplus_by_idle_time += other.surplus_by_idle_time;
     }
--- a/engine/src/socket.rs
+++ b/engine/src/socket.rs
@@ -4,9 +4,10 @@
 use crate::meter::Meter;
 use crate::net::Stream;
 use crate::observed_stream::{ObservedStream, ReadObserver};
-use hyper::rt::{Read, ReadBufCursor, Write};
+use hyper::rt::{Read, ReadBuf, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
+use std::future::poll_fn;
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -93,6 +94,18 @@
         self.0.last_read_at.get()
     }
 
+    /// Reads what the peer has sent; 0 at the end of the stream, or if the owner has closed the socket.
+    ///
+    /// # Errors
+    ///
+    /// The error of the operating system or of the virtual network.
+    pub async fn read(&self, buffer: &mut [u8]) -> io::Result<usize> {
+        let mut buffer = ReadBuf::new(buffer);
+        let mut socket = self.clone();
+        poll_fn(|context| Pin::new(&mut socket).poll_read(context, buffer.unfilled())).await?;
+        Ok(buffer.filled().len())
+    }
+
     /// Whether the socket is open and there is nothing to read, not even the end of the stream. Makes a system call,
     /// since input that arrived after the stream's task was last polled is visible nowhere else.
     pub fn has_no_pending_input(&self) -> bool {
--- a/engine/src/task.rs
+++ b/engine/src/task.rs
@@ -7,6 +7,13 @@
 #[derive(Debug)]
 pub struct Task(AbortHandle);
 
+impl Task {
+    /// Aborts the task: it is not polled again.
+    pub fn abort(&self) {
+        self.0.abort();
+    }
+}
+
 impl Drop for Task {
     fn drop(&mut self) {
         self.0.abort();
--- a/proxy/tests/suite/surplus_input.rs
+++ b/proxy/tests/suite/surplus_input.rs
@@ -55,6 +55,41 @@
     });
 }
 
+/// Clients were served with charges' answers that lacked their end: the host stated a length that was too short, and the
+/// rest of the body, right behind it, only closed the connection. A second copy behind a good answer still does no more.
+#[test]
+fn an_answer_whose_length_is_too_short_is_not_served() {
+    run(async {
+        for size in [14, 54, 20_000, 40_000] {
+            let body = "x".repeat(size);
+            let short = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", size - 8);
+            let HostAction::Respond(good) = ok(&body) else { unreachable!("ok() responds") };
+            let host = Host::start([HostAction::Respond(short), HostAction::Respond(good.repeat(2))]).await;
+            let proxy = Proxy::start(from_ref(&host)).await;
+            let mut client = proxy.client().await;
+            assert_eq!(client.exchange(&request("unsafe", "", "")).await.status(), 502, "{size}");
+            let answer = client.exchange(&request("unsafe", "", "")).await;
+            assert_eq!((answer.status(), answer.body == body.as_bytes()), (200, true), "{size}");
+            assert_eq!(host.count(), 2, "no charge is sent twice");
+        }
+    });
+}
+
+/// A rejection whose length is too short is spoilt like any such answer: it does not prove that its charge never ran.
+#[test]
+fn a_rejection_whose_length_is_too_short_does_not_make_a_charge_run_twice() {
+    run(async {
+        let HostAction::Respond(rejection) = rejection() else { unreachable!("rejection() responds") };
+        let hosts = [Host::start([ok("")]).await, Host::start([ok("")]).await];
+        for host in &hosts {
+            host.actions.replace([HostAction::Respond(format!("{rejection}the rest"))].into());
+        }
+        let proxy = Proxy::start(&hosts).await;
+        assert_eq!(proxy.client().await.exchange(&request("unsafe", "", "")).await.status(), 502);
+        assert_eq!(hosts[0].count() + hosts[1].count(), 1);
+    });
+}
+
 /// A connection that settles for a request whose client has left stays open for the next request, and the abandoned
 /// request is not sent.
 #[test]
