proxy: a request whose length is too short reaches no host

What callers saw: a charge whose client stated a Content-Length shorter than its body ran at a host with a part of the body and was answered 200; the rest was then rejected as the next request.

Change: RequestTracker, without I/O, follows the requests on a client's connection by their heads and lengths; if what was read behind a complete request begins no request, the client gets 400 and its connection is closed. Requests in a row, empty lines between them and what comes in pieces pass as before; a head that cannot be delimited ends the tracking, and hyper decides as before. The socket passes what it reads to an observer; heads in pieces are kept up to 4 KiB.

--- a/engine/src/discovery/received.rs
+++ b/engine/src/discovery/received.rs
@@ -62,8 +62,8 @@
 }
 
 impl ReadObserver for Rc<ReceiveProgress> {
-    fn on_read(&self, bytes: usize) {
-        self.record(bytes);
+    fn on_read(&self, bytes: &[u8]) {
+        self.record(bytes.len());
     }
 }
 
--- a/engine/src/http1/mod.rs
+++ b/engine/src/http1/mod.rs
@@ -9,6 +9,7 @@
 mod outcome;
 mod outgoing_body;
 mod pool;
+mod request_end;
 mod response_end;
 #[cfg(test)]
 mod response_end_tests;
@@ -19,6 +20,7 @@
 
 pub use crate::dial::BoxError;
 pub use limits::{MAX_BODY_BYTES, MAX_HEAD_BYTES};
+pub use request_end::RequestTracker;
 
 use crate::config::Config;
 use crate::meter::Meter;
--- a/engine/src/observed_stream.rs
+++ b/engine/src/observed_stream.rs
@@ -7,9 +7,9 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
 /// Is told what is read from an [`ObservedStream`].
-pub trait ReadObserver: Unpin {
-    /// Called after each poll of a read, with the number of bytes that it returned.
-    fn on_read(&self, bytes: usize);
+pub trait ReadObserver {
+    /// Called after each poll of a read, with the bytes that it returned.
+    fn on_read(&self, bytes: &[u8]);
 }
 
 /// A stream whose reads are reported to an observer.
@@ -31,7 +31,7 @@
     }
 }
 
-impl<O: ReadObserver> AsyncRead for ObservedStream<O> {
+impl<O: ReadObserver + Unpin> AsyncRead for ObservedStream<O> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
@@ -39,12 +39,12 @@
     ) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
         let read = Pin::new(&mut self.stream).poll_read(context, buffer);
-        self.observer.on_read(buffer.filled().len() - before);
+        self.observer.on_read(&buffer.filled()[before..]);
         read
     }
 }
 
-impl<O: ReadObserver> AsyncWrite for ObservedStream<O> {
+impl<O: ReadObserver + Unpin> AsyncWrite for ObservedStream<O> {
     fn poll_write(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
--- a/engine/src/socket.rs
+++ b/engine/src/socket.rs
@@ -7,6 +7,7 @@
 use hyper::rt::{Read, ReadBuf, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
+use std::fmt;
 use std::future::poll_fn;
 use std::io;
 use std::pin::Pin;
@@ -14,13 +15,25 @@
 use std::task::{Context, Poll};
 use tokio::time::Instant;
 
-/// The number of bytes read from a stream.
-#[derive(Debug, Default)]
-struct ByteCount(Cell<u64>);
+/// Counts the bytes that are read from a stream, and passes them to another observer.
+#[derive(Default)]
+struct Reads {
+    byte_count: Cell<u64>,
+    observer: Option<Rc<dyn ReadObserver>>,
+}
+
+impl ReadObserver for Rc<Reads> {
+    fn on_read(&self, bytes: &[u8]) {
+        self.byte_count.set(self.byte_count.get() + bytes.len() as u64);
+        if let Some(observer) = &self.observer {
+            observer.on_read(bytes);
+        }
+    }
+}
 
-impl ReadObserver for Rc<ByteCount> {
-    fn on_read(&self, bytes: usize) {
-        self.0.set(self.0.get() + bytes as u64);
+impl fmt::Debug for Reads {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Reads").field("byte_count", &self.byte_count).finish_non_exhaustive()
     }
 }
 
@@ -28,10 +41,10 @@
 #[derive(Debug)]
 struct Inner {
     /// `None` after the owner has closed the socket.
-    io: RefCell<Option<TokioIo<ObservedStream<Rc<ByteCount>>>>>,
+    io: RefCell<Option<TokioIo<ObservedStream<Rc<Reads>>>>>,
     /// Counts the bytes written for the attempt that uses the connection now, and may forbid writing them.
     meter: RefCell<Meter>,
-    bytes_read: Rc<ByteCount>,
+    reads: Rc<Reads>,
     /// Whether the owner sends requests, to which input is the response.
     request_begun: Cell<bool>,
     early_input: Cell<bool>,
@@ -47,11 +60,20 @@
 impl Socket {
     /// Wraps a stream.
     pub fn new(stream: impl Into<Stream>) -> Socket {
-        let bytes_read = Rc::<ByteCount>::default();
+        Socket::with_reads(stream.into(), Reads::default())
+    }
+
+    /// Wraps a stream whose input is reported to `observer`.
+    pub fn observed(stream: impl Into<Stream>, observer: Rc<dyn ReadObserver>) -> Socket {
+        Socket::with_reads(stream.into(), Reads { observer: Some(observer), ..Reads::default() })
+    }
+
+    fn with_reads(stream: Stream, reads: Reads) -> Socket {
+        let reads = Rc::new(reads);
         Socket(Rc::new(Inner {
-            io: RefCell::new(Some(TokioIo::new(ObservedStream::new(stream.into(), bytes_read.clone())))),
+            io: RefCell::new(Some(TokioIo::new(ObservedStream::new(stream, reads.clone())))),
             meter: RefCell::default(),
-            bytes_read,
+            reads,
             request_begun: Cell::new(false),
             early_input: Cell::new(false),
             read_count: Cell::new(0),
@@ -86,7 +108,7 @@
 
     /// The number of bytes read.
     pub fn bytes_read(&self) -> u64 {
-        self.0.bytes_read.0.get()
+        self.0.reads.byte_count.get()
     }
 
     /// When a read last completed; before the first read, when the socket was created.
@@ -155,7 +177,7 @@
         let write_is_forbidden =
             |meter: &Meter| meter.is_revoked() || meter.is_past_write_deadline() || meter.list_has_expired();
         let is_first_write = self.0.request_begun.get() && self.0.meter.borrow().bytes() == 0;
-        let must_not_write = |io: &TokioIo<ObservedStream<Rc<ByteCount>>>| {
+        let must_not_write = |io: &TokioIo<ObservedStream<Rc<Reads>>>| {
             let has_early_input = is_first_write && !io.inner().stream().has_no_pending_input();
             has_early_input || write_is_forbidden(&self.0.meter.borrow())
         };
--- a/proxy/src/requests.rs
+++ b/proxy/src/requests.rs
@@ -9,12 +9,13 @@
 use nettleworks_engine::calls::{KeyStatus, Reply, RequestInfo};
 use nettleworks_engine::config::Config;
 use nettleworks_engine::driver::Handle;
-use nettleworks_engine::http1::{BoxError, ForwardedRequest, Http1, MAX_BODY_BYTES};
+use nettleworks_engine::http1::{BoxError, ForwardedRequest, Http1, RequestTracker, MAX_BODY_BYTES};
 use nettleworks_engine::socket::Socket;
 use nettleworks_keys::KeyState;
 use nettleworks_keys_station::{KeyStoreConfig, WithKeys};
 use nettleworks_policy::{ClassId, Idempotency, TenantId};
 use std::pin::pin;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::task::spawn_local;
 use tokio::time::{timeout, timeout_at, Instant};
@@ -37,6 +38,10 @@
 pub struct RequestSource {
     /// The connection. The client's time budget runs from the request's last byte, also while it waits behind another.
     pub socket: Socket,
+    /// Follows the requests on the connection.
+    pub requests: Rc<RequestTracker>,
+    /// The number of this request on its connection, counted from 1.
+    pub number: u64,
     /// By when the whole body must have been read.
     pub body_deadline: Instant,
 }
@@ -52,7 +57,7 @@
         "/_health" if driver.is_ready() => status_response(StatusCode::OK),
         "/_health" => status_response(StatusCode::SERVICE_UNAVAILABLE),
         "/api" => {
-            let RequestSource { socket, body_deadline } = source;
+            let RequestSource { socket, requests, number, body_deadline } = source;
             match read_request(&driver.config(), request, body_deadline, || socket.last_read_at()).await {
                 Ok((mut info, forward)) => {
                     // The response has no reader once the client has closed the connection, also where this request
@@ -60,6 +65,10 @@
                     if socket.is_closed_by_peer() {
                         return closing_response(StatusCode::BAD_REQUEST);
                     }
+                    // The bytes behind it may be the rest of its body.
+                    if requests.is_followed_by_other(number) {
+                        return closing_response(StatusCode::BAD_REQUEST);
+                    }
                     info.deadline =
                         shutdown.get().map_or(info.deadline, |respond_by| info.deadline.min(respond_by));
                     let mut pending = driver.request(info, forward);
--- a/proxy/src/server.rs
+++ b/proxy/src/server.rs
@@ -6,7 +6,7 @@
 use hyper::header::{self, HeaderValue};
 use hyper::service::service_fn;
 use hyper_util::rt::TokioTimer;
-use nettleworks_engine::http1::MAX_HEAD_BYTES;
+use nettleworks_engine::http1::{RequestTracker, MAX_HEAD_BYTES};
 use nettleworks_engine::net::{Listener, Stream};
 use nettleworks_engine::quota::{ConnectionPermit, Side};
 use nettleworks_engine::socket::Socket;
@@ -339,16 +339,23 @@
         if let Err(error) = stream.set_nodelay() {
             self.driver.log(&format!("setting TCP_NODELAY failed: {error}"));
         }
-        let socket = Socket::new(stream);
+        let requests = Rc::<RequestTracker>::default();
+        let socket = Socket::observed(stream, requests.clone());
         let phase = Rc::new(Cell::new(Phase::New(Instant::now())));
         let (driver, state, read) = (self.driver.clone(), phase.clone(), socket.clone());
-        let (under_pressure, has_requested) = (self.under_pressure.clone(), Rc::new(Cell::new(false)));
+        let (under_pressure, request_count) = (self.under_pressure.clone(), Cell::new(0));
         let shutdown = self.shutdown.clone();
         let service = service_fn(move |request| {
-            let source =
-                RequestSource { body_deadline: state.get().body_deadline(&read), socket: read.clone() };
+            let number = request_count.get() + 1;
+            request_count.set(number);
+            let source = RequestSource {
+                socket: read.clone(),
+                requests: requests.clone(),
+                number,
+                body_deadline: state.get().body_deadline(&read),
+            };
             let (driver, state, reads) = (driver.clone(), state.clone(), read.read_count());
-            let (under_pressure, first) = (under_pressure.clone(), !has_requested.replace(true));
+            let under_pressure = under_pressure.clone();
             let shutdown = shutdown.clone();
             async move {
                 state.set(Phase::Open);
@@ -356,7 +363,7 @@
                 let mut response = respond(driver, request, source, &shutdown).await;
                 // Clients that send one request each and keep their connections leave none for clients that reuse
                 // theirs. A response with `Connection: close` closes at once, and without crossing a further request.
-                if first && under_pressure.get() || shutdown.get().is_some() {
+                if number == 1 && under_pressure.get() || shutdown.get().is_some() {
                     response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
                 }
                 // Input that was read meanwhile may be the beginning of the next request.
--- a/proxy/tests/suite/listening.rs
+++ b/proxy/tests/suite/listening.rs
@@ -6,6 +6,33 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
+/// A charge ran with a part of its body: the length that its client stated was too short, and the rest, right behind it,
+/// was only rejected as the next request. What may be another request behind it, or an empty line, changes nothing.
+#[test]
+fn a_request_whose_length_is_too_short_reaches_no_host() {
+    run(async {
+        let host = Host::start([ok("served")]).await;
+        let proxy = Proxy::start(from_ref(&host)).await;
+        for rest in ["&to=7", "\",\"to\":7}", "no request"] {
+            let mut client = proxy.client().await;
+            assert_eq!(client.exchange(&request("unsafe", "", "")).await.status(), 200);
+            let before = host.count();
+            client.send(&(request("unsafe", "", "amount=12") + rest)).await;
+            let answer = client.message().await.expect("an answer");
+            assert_eq!((answer.status(), answer.header("connection")), (400, Some("close")), "{rest}");
+            assert_eq!(host.count(), before, "{rest}");
+        }
+        for next in [String::new(), "\r\n".to_owned(), request("unsafe", "", "amount=34")] {
+            let mut client = proxy.client().await;
+            client.send(&(request("unsafe", "", "amount=12") + &next)).await;
+            assert_eq!(client.message().await.expect("an answer").status(), 200, "{next}");
+            let received = host.received.borrow().iter().any(|message| message.body == b"amount=12");
+            assert!(received, "{next}");
+            host.received.borrow_mut().clear();
+        }
+    });
+}
+
 /// A client that sends nothing, only a part of a request, or sends too slowly occupies a connection: it must get a
 /// response or a close within 3 s.
 #[test]
