http1: an answer without a length ends where its host closes the connection

Cause: such a head was refused before its body was read, as an end of the connection was taken for a possible cut.

Change: BodyEnd::Close is a known end. The body is whole when the peer has closed in order; a reset, a body over the limit and the attempt's time end it as before, as failed.

--- a/engine/src/http1/exchange.rs
+++ b/engine/src/http1/exchange.rs
@@ -87,7 +87,7 @@
     let stated_outcome = outcome_of_status(head.status, &head.headers);
     let body = Limited::new(body, MAX_BODY_BYTES).collect();
     let response = if stated_outcome == Outcome::Served {
-        if !body_end.is_stated() {
+        if !body_end.is_known() {
             return ExchangeEnd::broken(Outcome::Unknown, load);
         }
         match body.await {
--- a/engine/src/http1/exchange_tests.rs
+++ b/engine/src/http1/exchange_tests.rs
@@ -2,6 +2,7 @@
 
 use super::connection::Connection;
 use super::exchange::{exchange, ExchangeEnd};
+use super::limits::MAX_BODY_BYTES;
 use super::outgoing_body::OutgoingBody;
 use super::response_end::Surplus;
 use super::slot::Slot;
@@ -315,3 +316,41 @@
         }
     });
 }
+
+/// A whole answer without a length was not passed on. It ends where its host closes the connection in order; one that is
+/// reset, whenever that is, or that grows too long, does not end.
+#[test]
+fn only_an_orderly_close_ends_a_response_without_a_length() {
+    let head = "HTTP/1.1 200 OK\r\n\r\n";
+    let bodies =
+        ["", "whole", &"x".repeat(20_000), &"x".repeat(MAX_BODY_BYTES), &"x".repeat(MAX_BODY_BYTES + 1)];
+    run(async {
+        for body in bodies {
+            for is_reset in [false, true] {
+                let (mut connection, mut host) = pair().await;
+                let meter = Meter::default();
+                let request = Request::new(OutgoingBody::new(Bytes::from_static(b"body"), &meter));
+                let host_side = async {
+                    assert!(host.read(&mut [0; 1_024]).await.is_ok_and(|count| count > 0));
+                    // The client closes the connection under a body that is too long.
+                    let written = host.write_all(format!("{head}{body}").as_bytes()).await;
+                    assert!(written.is_ok() || body.len() > MAX_BODY_BYTES);
+                    sleep(Duration::from_millis(3)).await;
+                    let linger = is_reset.then_some(Duration::ZERO);
+                    socket2::SockRef::from(&host).set_linger(linger).expect("set");
+                    drop(host);
+                };
+                let (end, ()) = tokio::join!(exchange(&mut connection, request, &meter), host_side);
+                let end = end.expect("a request was written");
+                let outcome = match is_reset {
+                    _ if body.len() > MAX_BODY_BYTES => Outcome::Unknown,
+                    true => Outcome::Reset,
+                    false => Outcome::Served,
+                };
+                assert_eq!((end.end.outcome, end.reusable), (outcome, false), "{} {is_reset}", body.len());
+                let answer = end.end.answer.map(hyper::Response::into_body);
+                assert_eq!(answer, (outcome == Outcome::Served).then(|| Bytes::from(body.to_owned())));
+            }
+        }
+    });
+}
--- a/engine/src/http1/response_end.rs
+++ b/engine/src/http1/response_end.rs
@@ -23,7 +23,7 @@
     LastChunk,
     /// `Content-Length`.
     Length,
-    /// The end of the connection.
+    /// The end of the connection, if it is closed in order.
     Close,
     /// Nothing: the headers contradict each other or name a transfer coding that is not decoded here.
     Ambiguous,
@@ -48,10 +48,10 @@
         }
     }
 
-    /// Whether the headers alone tell where the body ends. The end of the connection does not: it may have been closed
-    /// early.
-    pub fn is_stated(self) -> bool {
-        matches!(self, BodyEnd::Head | BodyEnd::LastChunk | BodyEnd::Length)
+    /// Whether the end can be told at all. The end of the connection is one if the peer closed it in order; a reset fails
+    /// the read of the body.
+    pub fn is_known(self) -> bool {
+        self != BodyEnd::Ambiguous
     }
 
     /// Whether the body that was read up to this end may be a part of the real one, given what came behind it.
--- a/standins/src/host.rs
+++ b/standins/src/host.rs
@@ -27,6 +27,8 @@
     RespondBytes(Vec<u8>),
     /// Writes this text and closes the connection.
     RespondAndClose(String),
+    /// Writes this text and resets the connection this long after.
+    RespondAndReset(String, Duration),
     /// Writes nothing until the client closes the connection or [`Host::release`] is notified; then answers
     /// `released`.
     Stall,
@@ -46,7 +48,8 @@
         match self {
             HostAction::Respond(text)
             | HostAction::RespondThenAlso(text, ..)
-            | HostAction::RespondAndClose(text) => !text.contains("X-Rejected: 1"),
+            | HostAction::RespondAndClose(text)
+            | HostAction::RespondAndReset(text, _) => !text.contains("X-Rejected: 1"),
             HostAction::RespondBytes(_)
             | HostAction::RespondInTwoParts(..)
             | HostAction::Stall
@@ -269,6 +272,12 @@
                     let _ = write.write_all(text.as_bytes()).await;
                     return;
                 }
+                HostAction::RespondAndReset(text, delay) => {
+                    if write.write_all(text.as_bytes()).await.is_ok() {
+                        sleep(delay).await;
+                    }
+                    return reset(write.as_ref());
+                }
                 HostAction::Stall => tokio::select! {
                     _ = reader.more() => return,
                     () = self.release.notified() => {
